--- /dev/null
+++ b/crates/catkinctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/catkinshed/examples/local.rs
@@ -0,0 +1,138 @@
+//! The whole system on loopback: stand-ins, three daemons, and one crew plan.
+//!
+//! A program goes through a daemon that does not own it: a model turn, a tool pause, a sub-agent,
+//! and a booking that must run at most once. The answer, the count of bookings, and where the time
+//! of the program went are printed. With `--serve` the system stays up.
+
+use anyhow::{Context, Result, ensure};
+use caller::api::{Call, Create};
+use caller::client::{Answer, Client};
+use catkinshed::daemon::Daemon;
+use compact_str::{CompactString, format_compact};
+use std::time::{Duration, Instant};
+use testing::cluster::{CREW_TOKEN, Cluster, OPERATOR_TOKEN, Spec};
+use testing::program::{model, service};
+
+const DAEMONS: usize = 3;
+const TOOL_PAUSE: Duration = Duration::from_millis(60);
+const OWNER_WAIT: Duration = Duration::from_secs(10);
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
+    let serve = std::env::args().any(|arg| arg == "--serve");
+    let cluster = Cluster::start(Spec::default()).await;
+    let mut daemons = Vec::new();
+    let mut addrs = Vec::new();
+    for number in 0..DAEMONS {
+        let settings = cluster.settings(number);
+        addrs.push(format_compact!("{}", settings.http_addr));
+        daemons.push(Daemon::start(settings).await?);
+    }
+    for daemon in &daemons {
+        daemon.ready().await;
+    }
+    let started = Instant::now();
+    run_plan(&cluster, &addrs).await?;
+    println!("done in {:.1} s", started.elapsed().as_secs_f64());
+    if serve {
+        print_help(&addrs);
+        tokio::signal::ctrl_c().await?;
+    }
+    for daemon in daemons {
+        daemon.stop().await?;
+    }
+    Ok(())
+}
+
+async fn run_plan(cluster: &Cluster, addrs: &[CompactString]) -> Result<()> {
+    let mut first = Client::new(&addrs[..1], CREW_TOKEN, 0);
+    let mut other = Client::new(addrs, CREW_TOKEN, 1);
+    let create = Create {
+        pool: "models".into(),
+        account: "crew-tokens".into(),
+        budget: 5_000,
+        kind: "crew-plan".into(),
+        key: Some("plan-1".into()),
+        ..Create::default()
+    };
+    let waited = Instant::now();
+    let program = loop {
+        match first.create(&create).await {
+            Ok(program) => break program,
+            Err(error) if waited.elapsed() > OWNER_WAIT => return Err(error.into()),
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    };
+    let began = Instant::now();
+    let mut steps = Vec::new();
+    let plan = model(1, "Draft the cutting crews for the east fields.", 60, 2_000);
+    steps.push(step("model turn", &mut other, &program, &plan).await?);
+    let pause = Instant::now();
+    tokio::time::sleep(TOOL_PAUSE).await;
+    steps.push(Step { name: "tool pause", spent: pause.elapsed(), answer: None });
+    let parent = Some(program.clone());
+    let child = Create { parent, budget: 1_000, key: Some("plan-1-a".into()), ..create };
+    let child = other.create(&child).await?;
+    let check = model(1, "Check the trucks of the east fields.", 30, 500);
+    steps.push(step("sub-agent", &mut other, &child, &check).await?);
+    other.finish(&child).await?;
+    let booking = service(2, "booking", "book-truck", "truck 7 at 04:30", false);
+    steps.push(step("booking", &mut other, &program, &booking).await?);
+    let repeated = other.call(&program, &booking).await?;
+    other.finish(&program).await?;
+    let total = began.elapsed();
+    print_steps(&steps, total);
+    let bookings = cluster.effects().len();
+    println!("answer to the booking, repeated: {}", repeated.text);
+    println!("bookings in the service's ledger: {bookings}");
+    ensure!(bookings == 1, "the booking ran {bookings} times");
+    Ok(())
+}
+
+struct Step {
+    name: &'static str,
+    spent: Duration,
+    answer: Option<Answer>,
+}
+
+async fn step(name: &'static str, client: &mut Client, program: &str, call: &Call) -> Result<Step> {
+    let answer = client.call(program, call).await.with_context(|| format!("{name} failed"))?;
+    Ok(Step { name, spent: answer.total, answer: Some(answer) })
+}
+
+fn print_steps(steps: &[Step], total: Duration) {
+    println!("{:<12} {:>9} {:>9} {:>9}  answer", "step", "total ms", "first ms", "queue ms");
+    for step in steps {
+        let (first, queued, text) = match &step.answer {
+            Some(answer) => (millis(answer.first), answer.end.queued_ms, shorten(&answer.text)),
+            None => (0.0, 0.0, String::new()),
+        };
+        let spent = millis(step.spent);
+        println!("{:<12} {spent:>9.1} {first:>9.1} {queued:>9.1}  {text}", step.name);
+    }
+    let accounted: Duration = steps.iter().map(|step| step.spent).sum();
+    println!("{:<12} {:>9.1}", "between", millis(total.saturating_sub(accounted)));
+    println!("{:<12} {:>9.1}", "program", millis(total));
+}
+
+fn shorten(text: &str) -> String {
+    text.chars().take(40).collect()
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+fn print_help(addrs: &[CompactString]) {
+    println!("\nEntry VMs: {}", addrs.join(", "));
+    println!(
+        "Operators:\n  cargo run --release -p catkinctl -- --daemon {} --token {OPERATOR_TOKEN} \\\n    'show programs'",
+        addrs[0]
+    );
+    println!("Callers:");
+    let body = r#"{"pool":"models","account":"crew-tokens","budget":500,"kind":"try"}"#;
+    let auth = format!("Authorization: Bearer {CREW_TOKEN}");
+    println!("  curl -s -H '{auth}' http://{}/v1/programs -d \\\n    '{body}'", addrs[0]);
+    println!("Ctrl-C stops the system.");
+}
--- /dev/null
+++ b/crates/catkinshed/src/control/calls.rs
@@ -0,0 +1,310 @@
+//! A call from its arrival to its end.
+
+use super::Control;
+use super::event::CallKey;
+use super::live::{Cause, Live, Running, Stage};
+use super::owned::After;
+use crate::traffic::{model, service};
+use peer::wire::Reply;
+use sched::call::{Outcome, Stop, Work};
+use sched::id::ProgramId;
+use sched::record::Record;
+use sched::refusal::{Code, Refusal};
+use std::time::{Duration, Instant};
+
+/// Orders of one call that may fail before the call does.
+const MAX_FAILURES: u32 = 4;
+
+impl Control {
+    /// Moves a call to another stage.
+    pub(super) fn enter(&mut self, program: &ProgramId, stage: Stage, now: Instant) {
+        if let Some(live) = self.live.get_mut(program) {
+            live.enter(stage, now);
+        }
+    }
+
+    /// Takes a live call out and gives back its share of the counters.
+    fn take_live(&mut self, program: &ProgramId, now: Instant) -> Option<Live> {
+        let mut live = self.live.swap_remove(program)?;
+        let ended = std::mem::replace(&mut live.stage, Stage::Funding);
+        match &ended {
+            Stage::Queued(key) => {
+                if let Some(queue) = self.queues.get_mut(&live.pool) {
+                    queue.remove(key);
+                }
+            }
+            Stage::Running(running) => self.leave_endpoint(&live.pool, running),
+            Stage::Funding | Stage::Durable => {}
+        }
+        if let Some(count) = self.team_calls.get_mut(&live.team) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(clock) = self.clocks.get_mut(program) {
+            clock.touched = now;
+        }
+        Some(live)
+    }
+
+    /// Takes a running order out of a call; `None` when the event belongs to an earlier one.
+    fn take_running(&mut self, key: &CallKey, now: Instant) -> Option<Running> {
+        let live = self.live.get_mut(&key.program)?;
+        match &live.stage {
+            Stage::Running(running) if running.attempt == key.attempt => {}
+            _ => return None,
+        }
+        let pool = live.pool.clone();
+        let Stage::Running(running) = std::mem::replace(&mut live.stage, Stage::Funding) else {
+            return None;
+        };
+        live.since = now;
+        self.leave_endpoint(&pool, &running);
+        Some(running)
+    }
+
+    /// Takes an order's progress.
+    pub(super) fn progress(&mut self, key: &CallKey, progress: model::Progress, now: Instant) {
+        let Some(live) = self.live.get(&key.program) else {
+            return;
+        };
+        let Stage::Running(running) = &live.stage else {
+            return;
+        };
+        if running.attempt != key.attempt {
+            return;
+        }
+        metrics::counter!("tokens_total").increment(progress.tokens);
+        metrics::counter!("prompt_tokens_recomputed_total").increment(progress.recomputed);
+        if progress.first {
+            let wait = now.saturating_duration_since(live.began);
+            metrics::histogram!("first_token_seconds").record(wait.as_secs_f64());
+        }
+        let timed = progress.tokens - u64::from(progress.first);
+        let endpoint = running.endpoint.clone();
+        let pool = live.pool.clone();
+        self.paces.entry(pool).or_default().observe(&endpoint, timed, progress.time, now);
+    }
+
+    /// Takes the end of an order to an engine.
+    pub(super) fn model_ended(&mut self, key: &CallKey, end: model::End, now: Instant) {
+        let Some(running) = self.take_running(key, now) else {
+            return;
+        };
+        let program = &key.program;
+        match end {
+            model::End::Stopped => self.complete(program, Stop::End, now),
+            model::End::Length => self.reached_limit(program, now),
+            model::End::Broken { reason, lost } => {
+                if let Some(live) = self.live.get_mut(program) {
+                    live.lost += lost;
+                }
+                self.model_broke(program, &running, &reason, now);
+            }
+        }
+        self.dispatch_pool_of(&running.endpoint, now);
+    }
+
+    fn complete(&mut self, program: &ProgramId, stop: Stop, now: Instant) {
+        let Some(live) = self.live.get(program) else {
+            return;
+        };
+        let tokens = live.charged();
+        self.lengths.learn(&live.team, &live.kind, tokens);
+        let run = live.tape.run();
+        let outcome = Outcome::Done { text: live.tape.text(), tokens, stop, run };
+        self.conclude(program, outcome, now);
+    }
+
+    fn reached_limit(&mut self, program: &ProgramId, now: Instant) {
+        let Some(live) = self.live.get_mut(program) else {
+            return;
+        };
+        if live.tape.tokens() >= live.asked {
+            return self.complete(program, Stop::Length, now);
+        }
+        live.reserve = live.reserve.saturating_mul(2).min(live.asked);
+        live.expected = live.expected.saturating_mul(2).min(live.asked);
+        self.fund(program, now);
+    }
+
+    fn model_broke(&mut self, program: &ProgramId, running: &Running, reason: &str, now: Instant) {
+        let Some(live) = self.live.get_mut(program) else {
+            return;
+        };
+        match running.cause {
+            Some(Cause::Cancel) => return self.fail(program, "the program was cancelled", now),
+            Some(Cause::Deadline) => return self.fail(program, "the deadline passed", now),
+            Some(Cause::Move) => {}
+            None => live.failures += 1,
+        }
+        metrics::counter!("orders_broken_total").increment(1);
+        live.avoid = Some(running.endpoint.clone());
+        if live.failures > MAX_FAILURES {
+            let message = format!("{MAX_FAILURES} endpoints failed; the last: {reason}");
+            return self.fail(program, &message, now);
+        }
+        self.fund(program, now);
+    }
+
+    /// Takes the end of a request to a plain service.
+    pub(super) fn service_ended(
+        &mut self,
+        key: &CallKey,
+        end: service::End,
+        took: Duration,
+        now: Instant,
+    ) {
+        let Some(running) = self.take_running(key, now) else {
+            return;
+        };
+        metrics::histogram!("service_seconds").record(took.as_secs_f64());
+        let program = &key.program;
+        let Some(live) = self.live.get(program) else {
+            return;
+        };
+        let idempotent = live.call.work.idempotent();
+        match end {
+            service::End::Done(text) => {
+                let outcome = Outcome::Done { text, tokens: 0, stop: Stop::End, run: 0 };
+                self.conclude(program, outcome, now);
+            }
+            service::End::Status(status, text) => {
+                let message = format!("the service answered with status {status}: {text}");
+                self.fail(program, &message, now);
+            }
+            service::End::Unsent(reason) => self.retry_service(program, &running, &reason, now),
+            service::End::Unknown(reason) if idempotent => {
+                self.retry_service(program, &running, &reason, now);
+            }
+            service::End::Unknown(_) => self.conclude(program, Outcome::Unknown, now),
+        }
+        self.dispatch_pool_of(&running.endpoint, now);
+    }
+
+    fn retry_service(
+        &mut self,
+        program: &ProgramId,
+        running: &Running,
+        reason: &str,
+        now: Instant,
+    ) {
+        let Some(live) = self.live.get_mut(program) else {
+            return;
+        };
+        live.failures += 1;
+        live.avoid = Some(running.endpoint.clone());
+        if live.failures > MAX_FAILURES || live.deadline <= now {
+            let message = format!("the service failed: {reason}");
+            return self.fail(program, &message, now);
+        }
+        self.enqueue(program, now);
+    }
+
+    /// Ends a call as failed.
+    pub(super) fn fail(&mut self, program: &ProgramId, message: &str, now: Instant) {
+        let Some(live) = self.live.get(program) else {
+            return;
+        };
+        let outcome = Outcome::Failed { message: message.to_owned(), tokens: live.charged() };
+        self.conclude(program, outcome, now);
+    }
+
+    /// Ends a call with its outcome; the answer ends once that is durable.
+    pub(super) fn conclude(&mut self, program: &ProgramId, outcome: Outcome, now: Instant) {
+        let Some(live) = self.take_live(program, now) else {
+            return;
+        };
+        let record = Record::Outcome {
+            program: program.clone(),
+            call: live.call.id.clone(),
+            outcome: outcome.clone(),
+        };
+        if !self.record(live.log, record) {
+            let refusal = Refusal::unknown(Code::Internal, "the outcome does not fit the log");
+            return live.tape.end(Reply::Refused(refusal));
+        }
+        if matches!(live.call.work, Work::Service { .. })
+            && let Outcome::Done { text, .. } = &outcome
+        {
+            live.tape.load(text, 0);
+        }
+        self.refill(live.log, program);
+        self.finish_if_due(live.log, program);
+        let seconds = now.saturating_duration_since(live.began).as_secs_f64();
+        metrics::histogram!("call_seconds").record(seconds);
+        let queued = live.queued;
+        metrics::histogram!("queue_seconds").record(queued.as_secs_f64());
+        let reply = Reply::Ended { outcome, receipt: None, queued };
+        if let Some(owned) = self.logs.get_mut(&live.log) {
+            owned.after(After::End {
+                program: program.clone(),
+                call: live.call.id.clone(),
+                tape: live.tape,
+                reply,
+                sealed: false,
+            });
+        }
+    }
+
+    /// Refuses a call whose order has not left.
+    pub(super) fn withdraw(&mut self, program: &ProgramId, refusal: Refusal, now: Instant) {
+        let Some(live) = self.take_live(program, now) else {
+            return;
+        };
+        let open = self.find(live.log, program).is_ok_and(|found| {
+            found.open.as_ref().is_some_and(|open| open.call.id == live.call.id)
+        });
+        if open {
+            let (call, outcome) = (live.call.id.clone(), Outcome::NotRun);
+            self.record(live.log, Record::Outcome { program: program.clone(), call, outcome });
+        }
+        self.finish_if_due(live.log, program);
+        let code = format!("{:?}", refusal.code);
+        metrics::counter!("refusals_total", "code" => code).increment(1);
+        live.tape.end(Reply::Refused(self.qualify(refusal, now)));
+    }
+
+    /// Drops a call without an end, since another owner takes it over.
+    pub(super) fn let_go(&mut self, program: &ProgramId, now: Instant) {
+        let Some(mut live) = self.live.swap_remove(program) else {
+            return;
+        };
+        match &mut live.stage {
+            Stage::Running(running) => {
+                if let Some(stop) = running.stop.take() {
+                    // A task that has ended needs no word.
+                    let _ = stop.send(model::Halt::Detach);
+                }
+            }
+            Stage::Queued(key) => {
+                if let Some(queue) = self.queues.get_mut(&live.pool) {
+                    queue.remove(key);
+                }
+            }
+            Stage::Funding | Stage::Durable => {}
+        }
+        if let Stage::Running(running) = &live.stage {
+            self.leave_endpoint(&live.pool, running);
+        }
+        if let Some(count) = self.team_calls.get_mut(&live.team) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(clock) = self.clocks.get_mut(program) {
+            clock.touched = now;
+        }
+        live.tape.end(Reply::Moved);
+    }
+
+    /// Tells a running order to stop.
+    pub(super) fn halt(&mut self, program: &ProgramId, cause: Cause) {
+        let Some(live) = self.live.get_mut(program) else {
+            return;
+        };
+        if let Stage::Running(running) = &mut live.stage
+            && let Some(stop) = running.stop.take()
+        {
+            running.cause = Some(cause);
+            // A task that has ended needs no word.
+            let _ = stop.send(model::Halt::Cancel);
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/control/commits.rs
@@ -0,0 +1,179 @@
+//! Making log entries durable, and doing what waited for that.
+
+use super::Control;
+use super::event::Event;
+use super::owned::After;
+use crate::receipt::Receipt;
+use crate::settings::millis;
+use crate::traffic::{commit, snapshot};
+use peer::wire::Reply;
+use sched::id::{CallId, Epoch, LogId, ProgramId};
+use std::time::{Duration, Instant};
+
+impl Control {
+    /// Starts the commits that are due.
+    pub(super) fn flush(&mut self, now: Instant) {
+        let mut ready = Vec::new();
+        let mut due = Vec::new();
+        for owned in self.logs.values_mut() {
+            ready.extend(owned.take_ready().into_iter().map(|after| (owned.state.log, after)));
+            due.extend(owned.due_since(now).map(|since| (since, owned.state.log)));
+        }
+        due.sort();
+        for (_, log) in due {
+            if !self.pacer.take(now) {
+                break;
+            }
+            self.start_commit(log, now);
+        }
+        for (log, after) in ready {
+            self.proceed(log, after, now);
+        }
+    }
+
+    fn start_commit(&mut self, log: LogId, now: Instant) {
+        let snapshot_after = self.limits().snapshot_segments;
+        let Some(owned) = self.logs.get_mut(&log) else {
+            return;
+        };
+        let Some(batch) = owned.take_batch(now, snapshot_after) else {
+            return;
+        };
+        metrics::counter!("commits_total").increment(1);
+        metrics::counter!("entries_total").increment(batch.segment.records.len() as u64);
+        let epoch = owned.epoch;
+        let (kv, events) = (self.shared.kv.clone(), self.shared.events.clone());
+        self.shared.runtime.spawn(async move {
+            let end = commit::commit(&kv, &events, log, batch.number, &batch.segment).await;
+            events.send(Event::Committed { log, epoch, end });
+        });
+    }
+
+    /// Takes the end of a commit.
+    pub(super) fn committed(&mut self, log: LogId, epoch: Epoch, end: commit::End, now: Instant) {
+        let Some(owned) = self.logs.get_mut(&log).filter(|owned| owned.epoch == epoch) else {
+            return;
+        };
+        if end != commit::End::Durable {
+            metrics::counter!("logs_fenced_total").increment(1);
+            log::warn!("log {log} was taken over by another daemon, or cannot be written");
+            return self.abandon(log, now);
+        }
+        metrics::histogram!("commit_seconds").record(owned.stalled(now).as_secs_f64());
+        let (waiting, snapshot) = owned.committed();
+        if let Some((number, packed)) = snapshot {
+            self.write_snapshot(log, number, packed);
+        }
+        for after in waiting {
+            self.proceed(log, after, now);
+        }
+    }
+
+    fn write_snapshot(&self, log: LogId, number: u64, packed: Vec<u8>) {
+        let kv = self.shared.kv.clone();
+        self.shared.runtime.spawn(async move {
+            match snapshot::write(&kv, log, number, &packed).await {
+                Ok(()) => metrics::counter!("snapshots_total").increment(1),
+                Err(fault) => {
+                    metrics::counter!("snapshot_failures_total").increment(1);
+                    log::warn!("the snapshot of log {log} failed: {fault}");
+                }
+            }
+        });
+    }
+
+    fn proceed(&mut self, log: LogId, after: After, now: Instant) {
+        match after {
+            After::Allowed { .. } => {}
+            After::Proceed { program, call } => {
+                let waiting = self.live.get(&program).is_some_and(|live| {
+                    live.call.id == call && matches!(live.stage, super::live::Stage::Durable)
+                });
+                if waiting {
+                    self.fund(&program, now);
+                }
+            }
+            After::End { tape, reply, .. } => tape.end(reply),
+            After::Reply { outbox, reply } => {
+                // An asker that has gone needs no answer.
+                let _ = outbox.try_send(reply);
+            }
+            After::Confirmed => {
+                if let Some(owned) = self.logs.get_mut(&log) {
+                    owned.unconfirmed = false;
+                    log::info!("log {log} is still owned here");
+                }
+            }
+            After::HandedOff => self.handed_off(log),
+        }
+    }
+
+    /// Gives receipts for answers whose turns have not become durable in time.
+    pub(super) fn seal_stalled(&mut self, now: Instant) {
+        let patience = millis(self.limits().receipt_after_ms);
+        let key = self.shared.settings.keys.cluster.clone();
+        let lease_fresh = self.lease_fresh(now);
+        let platform_up = self.platform_up;
+        for owned in self.logs.values_mut() {
+            let stalled = owned.stalled(now);
+            if stalled < patience || (lease_fresh && platform_up && stalled < 2 * patience) {
+                continue;
+            }
+            seal_all(owned, key.as_bytes());
+        }
+    }
+}
+
+/// Ends all answers that wait for durability, each with a receipt; returns the receipts.
+pub(super) fn seal_all(owned: &mut super::owned::Owned, key: &[u8]) -> Vec<(ProgramId, String)> {
+    let mut ended = Vec::new();
+    for after in owned.waiting() {
+        if let After::End { program, call, tape, reply, sealed } = after
+            && !std::mem::replace(sealed, true)
+        {
+            ended.push((program.clone(), call.clone(), tape.clone(), reply.clone()));
+        }
+    }
+    let mut receipts = Vec::new();
+    for (program, call, tape, reply) in ended {
+        let Some(receipt) = seal(owned, &program, &call, key) else { continue };
+        let Reply::Ended { outcome, queued, .. } = reply else { continue };
+        metrics::counter!("receipts_total").increment(1);
+        tape.end(Reply::Ended { outcome, receipt: Some(receipt.clone()), queued });
+        receipts.push((program, receipt));
+    }
+    receipts
+}
+
+fn seal(
+    owned: &super::owned::Owned,
+    program: &ProgramId,
+    call: &CallId,
+    key: &[u8],
+) -> Option<String> {
+    let turn = owned.state.programs.get(program)?.turn(call)?.clone();
+    Receipt { program: program.clone(), turn }.seal(key)
+}
+
+/// Receipts of all turns that were answered and are not durable, in order.
+pub(super) fn undurable_receipts(
+    owned: &mut super::owned::Owned,
+    key: &[u8],
+) -> Vec<(ProgramId, String)> {
+    let mut turns = Vec::new();
+    for after in owned.waiting() {
+        if let After::End { program, call, sealed: true, .. } = after {
+            turns.push((program.clone(), call.clone()));
+        }
+    }
+    let sealed = turns.into_iter().filter_map(|(program, call)| {
+        let receipt = seal(owned, &program, &call, key)?;
+        Some((program, receipt))
+    });
+    sealed.collect()
+}
+
+/// Time since a moment that may lie ahead.
+pub(super) fn since(now: Instant, moment: Instant) -> Duration {
+    now.saturating_duration_since(moment)
+}
--- /dev/null
+++ b/crates/catkinshed/src/control/event.rs
@@ -0,0 +1,166 @@
+//! Events that the control thread takes.
+
+use crate::traffic::adopt::{Adopted, Failure};
+use crate::traffic::commit;
+use crate::traffic::{model, service};
+use peer::wire::{Answer, Ask, Asker, Query, Reply, Report};
+use platform::kv::{LeaseId, Revision};
+use platform::vms::Vm;
+use sched::config::{Change, Config};
+use sched::id::{AccountId, CallId, EndpointId, Epoch, LogId, ProgramId, Tokens};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// Where the answer to an operation goes.
+pub type Outbox = mpsc::Sender<Reply>;
+
+/// One attempt at one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallKey {
+    /// Log of the program.
+    pub log: LogId,
+    /// The program.
+    pub program: ProgramId,
+    /// The call.
+    pub call: CallId,
+    /// Number of the attempt, unique in this daemon.
+    pub attempt: u64,
+}
+
+/// Something that the control thread has to decide on.
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// An operation on a program.
+    Ask {
+        /// Who asks.
+        asker: Asker,
+        /// What is asked.
+        ask: Box<Ask>,
+        /// Where the answer goes.
+        outbox: Outbox,
+    },
+    /// A question of the operators.
+    Query(Query, oneshot::Sender<Answer>),
+    /// The configuration as of a snapshot.
+    Config(Box<Config>),
+    /// All configuration changes that exist have been delivered.
+    ConfigRead,
+    /// The next configuration change.
+    Change(Box<Change>),
+    /// The configuration in force is asked for.
+    ReadConfig(oneshot::Sender<Config>),
+    /// The list of VMs was read.
+    Vms(Vec<Vm>),
+    /// The lease was taken, renewed or lost.
+    Lease {
+        /// The lease, unless it was lost.
+        lease: Option<LeaseId>,
+        /// When the renewal was asked for.
+        renewed: Instant,
+    },
+    /// The key-value service answered a write, or did not.
+    Platform(bool),
+    /// A takeover ended.
+    Adopted {
+        /// The log.
+        log: LogId,
+        /// Its state, or why it was not taken over.
+        result: Box<Result<Adopted, Failure>>,
+    },
+    /// A claim made again after a lapse ended.
+    Reclaimed {
+        /// The log.
+        log: LogId,
+        /// Lease of the claim.
+        lease: LeaseId,
+        /// Revision of the owner key, or why it is not held.
+        result: Result<Revision, Failure>,
+    },
+    /// A commit ended.
+    Committed {
+        /// The log.
+        log: LogId,
+        /// Epoch of the commit.
+        epoch: Epoch,
+        /// How it ended.
+        end: commit::End,
+    },
+    /// A draw from an account ended.
+    Granted {
+        /// The log.
+        log: LogId,
+        /// Epoch of the draw.
+        epoch: Epoch,
+        /// The account.
+        account: AccountId,
+        /// The log's grant, unless it could not be learned.
+        tokens: Option<Tokens>,
+        /// Whether the key-value service was out of reach.
+        platform_down: bool,
+    },
+    /// Tokens arrived.
+    Progress {
+        /// The attempt.
+        key: CallKey,
+        /// What arrived.
+        progress: model::Progress,
+    },
+    /// An order to an engine ended.
+    ModelEnded {
+        /// The attempt.
+        key: CallKey,
+        /// How it ended.
+        end: model::End,
+    },
+    /// A request to a plain service ended.
+    ServiceEnded {
+        /// The attempt.
+        key: CallKey,
+        /// How it ended.
+        end: service::End,
+        /// Time that it took.
+        took: Duration,
+    },
+    /// An engine released a program's memory.
+    Released {
+        /// The log.
+        log: LogId,
+        /// The engine.
+        endpoint: EndpointId,
+        /// The program.
+        program: ProgramId,
+    },
+    /// An engine named the programs that it holds memory for.
+    Pins {
+        /// The engine.
+        endpoint: EndpointId,
+        /// The programs.
+        programs: Vec<ProgramId>,
+    },
+    /// A peer told its state.
+    Report(Report),
+    /// The daemon is to stop; answered when no log is left.
+    Stop(oneshot::Sender<()>),
+    /// The control thread is to end.
+    Quit,
+}
+
+/// Sender of events.
+#[derive(Clone, Debug)]
+pub struct Events(mpsc::UnboundedSender<Event>);
+
+impl Events {
+    /// Opens the channel to a control thread.
+    pub fn channel() -> (Self, mpsc::UnboundedReceiver<Event>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Self(sender), receiver)
+    }
+
+    /// Sends an event; after the control thread has ended, the event is dropped.
+    pub fn send(&self, event: Event) {
+        // Only a daemon that has stopped has no receiver.
+        let _ = self.0.send(event);
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/control/live.rs
@@ -0,0 +1,114 @@
+//! A call between its arrival and its end.
+
+use crate::tape::Tape;
+use crate::traffic::model::Halt;
+use compact_str::CompactString;
+use sched::call::Call;
+use sched::id::{EndpointId, LogId, PoolId, TeamId, Tokens};
+use sched::queue;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// Why a running order was told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The program ends.
+    Cancel,
+    /// The deadline passed.
+    Deadline,
+    /// The endpoint is slow, and the call goes on elsewhere.
+    Move,
+}
+
+/// An order at an endpoint.
+#[derive(Debug)]
+pub struct Running {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Number of the attempt.
+    pub attempt: u64,
+    /// Memory reserved there, in tokens.
+    pub memory: Tokens,
+    /// Whether the call counts as long there.
+    pub long: bool,
+    /// When the order left.
+    pub since: Instant,
+    /// Tells the task of a model order to stop.
+    pub stop: Option<oneshot::Sender<Halt>>,
+    /// Why it was told to.
+    pub cause: Option<Cause>,
+}
+
+/// How far a call has come.
+#[derive(Debug)]
+pub enum Stage {
+    /// It waits for tokens of its account.
+    Funding,
+    /// It waits for entries to become durable.
+    Durable,
+    /// It waits for an endpoint.
+    Queued(queue::Key),
+    /// It runs.
+    Running(Running),
+}
+
+/// A call between its arrival and its end.
+#[derive(Debug)]
+pub struct Live {
+    /// Log of the program.
+    pub log: LogId,
+    /// The call.
+    pub call: Call,
+    /// Team that is served.
+    pub team: TeamId,
+    /// Pool that serves the call.
+    pub pool: PoolId,
+    /// Kind of the program.
+    pub kind: CompactString,
+    /// Text so far, and its readers.
+    pub tape: Tape,
+    /// How far the call has come.
+    pub stage: Stage,
+    /// When it arrived.
+    pub began: Instant,
+    /// When the present stage began.
+    pub since: Instant,
+    /// When it stops being worth running.
+    pub deadline: Instant,
+    /// Time in the queue so far.
+    pub queued: Duration,
+    /// Tokens asked for.
+    pub asked: Tokens,
+    /// Tokens that it may generate in all.
+    pub hold: Tokens,
+    /// Tokens expected.
+    pub expected: Tokens,
+    /// Memory to reserve for the answer, in tokens.
+    pub reserve: Tokens,
+    /// Tokens that an engine generated and nobody received.
+    pub lost: Tokens,
+    /// Rank, once it has been queued.
+    pub rank: Option<queue::Rank>,
+    /// Orders that failed.
+    pub failures: u32,
+    /// Endpoint that failed last.
+    pub avoid: Option<EndpointId>,
+    /// Whether the last order may have left.
+    pub sent: bool,
+}
+
+impl Live {
+    /// Tokens charged to the program if the call ended now.
+    pub fn charged(&self) -> Tokens {
+        self.tape.tokens() + self.lost
+    }
+
+    /// Moves to another stage.
+    pub fn enter(&mut self, stage: Stage, now: Instant) {
+        if matches!(self.stage, Stage::Queued(_)) {
+            self.queued += now.saturating_duration_since(self.since);
+        }
+        self.stage = stage;
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/control/mod.rs
@@ -0,0 +1,308 @@
+//! The control thread.
+//!
+//! It owns the daemon's share of the logs, the queues of waiting calls and the view of the
+//! endpoints. It takes [`event::Event`]s one at a time; every handler gets the present time, changes
+//! state, and starts tasks on the runtime for whatever takes time. The handlers are grouped by what
+//! they decide:
+//!
+//! * [`asks`] answers operations on programs;
+//! * [`calls`] moves a call from its arrival to its end;
+//! * [`funds`] sets tokens aside for calls;
+//! * [`dispatch`] sends waiting calls to endpoints;
+//! * [`pacer`] spreads commits over time;
+//! * [`commits`] makes log entries durable and does what waited for that;
+//! * [`ownership`] takes logs over and hands them off;
+//! * [`pools`] keeps the view of the endpoints;
+//! * [`pins`] releases engine memory;
+//! * [`limits`] ends what has run out of time;
+//! * [`rows`] answers the operators.
+
+pub mod asks;
+pub mod calls;
+pub mod commits;
+pub mod dispatch;
+pub mod event;
+pub mod funds;
+pub mod limits;
+pub mod live;
+pub mod owned;
+pub mod ownership;
+pub mod pacer;
+pub mod pins;
+pub mod pools;
+pub mod rows;
+
+use crate::entry::Entry;
+use crate::routes::{Member, Routes};
+use crate::settings::{Settings, millis};
+use event::{Event, Events, Outbox};
+use indexmap::{IndexMap, IndexSet};
+use live::Live;
+use owned::Owned;
+use pacer::Pacer;
+use peer::wire::Report;
+use platform::kv::{self, LeaseId};
+use platform::vms;
+use sched::config::Config;
+use sched::health::Paces;
+use sched::id::{LogId, PoolId, ProgramId, TeamId, VmId};
+use sched::place;
+use sched::predict::Lengths;
+use sched::queue::Queue;
+use sched::record::Ending;
+use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Interval of ticks.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// Whether the daemon can serve.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ready {
+    /// The configuration has been read, and the lease is held.
+    pub serving: bool,
+    /// The daemon is stopping.
+    pub stopping: bool,
+}
+
+/// What the control thread shares with tasks.
+#[derive(Clone)]
+pub struct Shared {
+    /// Settings.
+    pub settings: std::sync::Arc<Settings>,
+    /// This daemon.
+    pub me: Member,
+    /// Key-value service.
+    pub kv: kv::Client,
+    /// HTTP to endpoints.
+    pub http: reqwest::Client,
+    /// Calls to peers.
+    pub peers: peer::client::Client,
+    /// Owners and members.
+    pub routes: Routes,
+    /// The control thread's events.
+    pub events: Events,
+    /// Runtime of the tasks.
+    pub runtime: Handle,
+}
+
+impl Shared {
+    /// Router of operations.
+    pub fn entry(&self) -> Entry {
+        Entry {
+            me: self.me.clone(),
+            routes: self.routes.clone(),
+            peers: self.peers.clone(),
+            events: self.events.clone(),
+            route_wait: millis(self.settings.limits.route_wait_ms),
+        }
+    }
+}
+
+/// When a program began and was last used, at this owner.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    /// When it was created or its log was taken over.
+    pub began: Instant,
+    /// When its last call began or ended.
+    pub touched: Instant,
+}
+
+/// State of the control thread.
+pub struct Control {
+    shared: Shared,
+    ready: watch::Sender<Ready>,
+    rng: fastrand::Rng,
+    config: Config,
+    config_read: bool,
+    logs: IndexMap<LogId, Owned>,
+    claiming: IndexSet<LogId>,
+    lease: Option<LeaseId>,
+    renewed: Option<Instant>,
+    platform_up: bool,
+    platform_seen: Instant,
+    vms: Option<IndexMap<VmId, vms::State>>,
+    pools: IndexMap<PoolId, place::Pool>,
+    queues: IndexMap<PoolId, Queue>,
+    paces: IndexMap<PoolId, Paces>,
+    lengths: Lengths,
+    pauses: Lengths,
+    live: IndexMap<ProgramId, Live>,
+    clocks: IndexMap<ProgramId, Clock>,
+    team_calls: IndexMap<TeamId, u32>,
+    reports: IndexMap<VmId, (Report, Instant)>,
+    pacer: Pacer,
+    endings: IndexMap<ProgramId, (Ending, Vec<Outbox>)>,
+    attempts: u64,
+    stopping: Option<oneshot::Sender<()>>,
+    last_report: Instant,
+    last_second: Instant,
+    last_sweep: Instant,
+}
+
+impl Control {
+    /// Prepares the control state at `now`.
+    pub fn new(shared: Shared, ready: watch::Sender<Ready>, now: Instant) -> Self {
+        let interval = millis(shared.settings.limits.commit_interval_ms);
+        Self {
+            shared,
+            ready,
+            rng: fastrand::Rng::new(),
+            config: Config::default(),
+            config_read: false,
+            logs: IndexMap::new(),
+            claiming: IndexSet::new(),
+            lease: None,
+            renewed: None,
+            platform_up: false,
+            platform_seen: now,
+            vms: None,
+            pools: IndexMap::new(),
+            queues: IndexMap::new(),
+            paces: IndexMap::new(),
+            lengths: Lengths::default(),
+            pauses: Lengths::default(),
+            live: IndexMap::new(),
+            clocks: IndexMap::new(),
+            team_calls: IndexMap::new(),
+            reports: IndexMap::new(),
+            pacer: Pacer::new(interval, now),
+            endings: IndexMap::new(),
+            attempts: 0,
+            stopping: None,
+            last_report: now,
+            last_second: now,
+            last_sweep: now,
+        }
+    }
+
+    /// Takes events until told to quit.
+    pub fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        while let Some(event) = events.blocking_recv() {
+            if matches!(event, Event::Quit) {
+                return;
+            }
+            let now = Instant::now();
+            self.handle(event, now);
+            while let Ok(event) = events.try_recv() {
+                if matches!(event, Event::Quit) {
+                    return;
+                }
+                self.handle(event, now);
+            }
+            self.flush(Instant::now());
+        }
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, event: Event, now: Instant) {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Ask { asker, ask, outbox } => self.ask(&asker, *ask, &outbox, now),
+            Event::Query(query, answer) => {
+                // An operator that has gone needs no answer.
+                let _ = answer.send(self.answer(&query, now));
+            }
+            Event::Config(config) => self.set_config(*config),
+            Event::ConfigRead => self.config_was_read(),
+            Event::Change(change) => self.apply_change(&change),
+            Event::ReadConfig(answer) => {
+                // An operator that has gone needs no answer.
+                let _ = answer.send(self.config.clone());
+            }
+            Event::Vms(list) => self.set_vms(list),
+            Event::Lease { lease, renewed } => self.set_lease(lease, renewed, now),
+            Event::Platform(up) => self.set_platform(up, now),
+            Event::Adopted { log, result } => self.adopted(log, *result, now),
+            Event::Reclaimed { log, lease, result } => self.reclaimed(log, lease, result, now),
+            Event::Committed { log, epoch, end } => self.committed(log, epoch, end, now),
+            Event::Granted { log, epoch, account, tokens, platform_down } => {
+                self.granted(log, epoch, &account, tokens, platform_down, now);
+            }
+            Event::Progress { key, progress } => self.progress(&key, progress, now),
+            Event::ModelEnded { key, end } => self.model_ended(&key, end, now),
+            Event::ServiceEnded { key, end, took } => self.service_ended(&key, end, took, now),
+            Event::Released { log, endpoint, program } => self.released(log, &endpoint, &program),
+            Event::Pins { endpoint, programs } => self.check_pins(&endpoint, &programs),
+            Event::Report(report) => self.take_report(report, now),
+            Event::Stop(done) => self.begin_stop(done, now),
+            Event::Quit => {}
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.balance_logs(now);
+        self.advance_handoffs(now);
+        self.enforce_deadlines(now);
+        self.seal_stalled(now);
+        self.dispatch_all(now);
+        if now - self.last_report >= millis(self.limits().report_interval_ms) {
+            self.last_report = now;
+            self.send_report(now);
+            self.update_slowdowns(now);
+            self.move_from_slow(now);
+        }
+        if now - self.last_second >= Duration::from_secs(1) {
+            self.last_second = now;
+            self.enforce_limits(now);
+            self.return_grants();
+            self.update_gauges();
+        }
+        if now - self.last_sweep >= millis(self.limits().sweep_interval_ms) {
+            self.last_sweep = now;
+            self.sweep();
+        }
+        self.finish_stop();
+    }
+
+    fn limits(&self) -> &crate::settings::Limits {
+        &self.shared.settings.limits
+    }
+
+    fn set_platform(&mut self, up: bool, now: Instant) {
+        if up {
+            self.platform_seen = now;
+        }
+        if up != self.platform_up {
+            self.platform_up = up;
+            let state = if up { "answers" } else { "is out of reach" };
+            log::info!("the key-value service {state}");
+        }
+    }
+
+    fn set_lease(&mut self, lease: Option<LeaseId>, renewed: Instant, now: Instant) {
+        self.set_platform(true, now);
+        if lease.is_none() {
+            self.logs.values_mut().for_each(|owned| owned.unconfirmed = true);
+        }
+        self.lease = lease;
+        self.renewed = lease.map(|_| renewed);
+        self.update_ready();
+    }
+
+    /// Tells whether no other daemon can have taken over this daemon's logs.
+    fn lease_fresh(&self, now: Instant) -> bool {
+        let ttl = millis(self.limits().lease_ttl_ms);
+        self.renewed.is_some_and(|renewed| now.saturating_duration_since(renewed) < ttl)
+    }
+
+    fn update_ready(&self) {
+        let ready = Ready {
+            serving: self.config_read && self.lease.is_some(),
+            stopping: self.stopping.is_some(),
+        };
+        self.ready.send_if_modified(|current| std::mem::replace(current, ready) != ready);
+    }
+
+    fn update_gauges(&self) {
+        let waiting: usize = self.queues.values().map(Queue::len).sum();
+        let programs: usize = self.logs.values().map(|log| log.state.programs.len()).sum();
+        metrics::gauge!("calls_waiting").set(waiting as f64);
+        metrics::gauge!("calls_live").set(self.live.len() as f64);
+        metrics::gauge!("programs").set(programs as f64);
+        metrics::gauge!("logs_owned").set(self.logs.len() as f64);
+        metrics::gauge!("config_version").set(self.config.version as f64);
+        metrics::gauge!("platform_up").set(if self.platform_up { 1.0 } else { 0.0 });
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/control/rows.rs
@@ -0,0 +1,108 @@
+//! Answers to the operators.
+
+use super::Control;
+use super::commits::since;
+use super::live::{Live, Stage};
+use peer::wire::{Answer, DaemonRow, EndpointRow, Query, Row, Wait};
+use sched::id::ProgramId;
+use sched::program::Program;
+use std::time::Instant;
+
+impl Control {
+    /// Answers what the operators ask of every daemon.
+    pub(super) fn answer(&self, query: &Query, now: Instant) -> Answer {
+        let programs = if query.programs { self.program_rows(now) } else { Vec::new() };
+        let endpoints = if query.endpoints { self.endpoint_rows() } else { Vec::new() };
+        Answer { daemon: self.daemon_row(), programs, endpoints }
+    }
+
+    fn daemon_row(&self) -> DaemonRow {
+        let programs = self.logs.values().flat_map(|owned| owned.state.programs.values());
+        let live = programs.filter(|program| program.ending.is_none()).count();
+        let waiting: usize = self.queues.values().map(|queue| queue.len()).sum();
+        DaemonRow {
+            vm: self.shared.me.vm.clone(),
+            dc: self.shared.me.dc.clone(),
+            version: self.config.version,
+            logs: self.logs.keys().copied().collect(),
+            programs: live as u64,
+            waiting: waiting as u64,
+            stopping: self.stopping.is_some(),
+            platform_up: self.platform_up,
+        }
+    }
+
+    fn program_rows(&self, now: Instant) -> Vec<Row> {
+        let programs = self.logs.values().flat_map(|owned| &owned.state.programs);
+        programs.map(|(id, program)| self.program_row(id, program, now)).collect()
+    }
+
+    fn program_row(&self, id: &ProgramId, program: &Program, now: Instant) -> Row {
+        let live = self.live.get(id);
+        let touched = self.clocks.get(id).map_or(now, |clock| clock.touched);
+        let began = live.map_or(touched, |live| live.since);
+        let spec = program.spec.clone();
+        Row {
+            program: id.clone(),
+            team: spec.team,
+            pool: spec.pool,
+            account: spec.account,
+            kind: spec.kind,
+            priority: spec.priority,
+            vm: self.shared.me.vm.clone(),
+            seq: program.next_seq(),
+            budget: spec.budget,
+            spent: program.spent,
+            for_ms: since(now, began).as_millis() as u64,
+            wait: self.wait(program, live),
+        }
+    }
+
+    fn wait(&self, program: &Program, live: Option<&Live>) -> Wait {
+        if let Some(ending) = program.ending {
+            return Wait::Ended { ending };
+        }
+        let Some(live) = live else {
+            return Wait::Caller;
+        };
+        match &live.stage {
+            Stage::Funding => Wait::Budget { account: program.spec.account.clone() },
+            Stage::Durable => Wait::Durability { platform_up: self.platform_up },
+            Stage::Queued(key) => {
+                let queue = self.queues.get(&live.pool);
+                let views = self.pools.get(&live.pool).map(|pool| &pool.views);
+                let open = views.into_iter().flatten().filter(|(_, view)| view.open).count();
+                Wait::Queue {
+                    pool: live.pool.clone(),
+                    ahead: queue.map_or(0, |queue| queue.ahead(key)) as u64,
+                    open: open as u64,
+                }
+            }
+            Stage::Running(running) => {
+                let views = self.pools.get(&live.pool).map(|pool| &pool.views);
+                let view = views.and_then(|views| views.get(&running.endpoint));
+                Wait::Running {
+                    endpoint: running.endpoint.clone(),
+                    tokens: live.tape.tokens(),
+                    slow: view.is_some_and(|view| view.slowdown > 1.0),
+                }
+            }
+        }
+    }
+
+    fn endpoint_rows(&self) -> Vec<EndpointRow> {
+        let pools = self.pools.iter();
+        let rows = pools.flat_map(|(pool, views)| {
+            views.views.iter().map(|(endpoint, view)| EndpointRow {
+                endpoint: endpoint.clone(),
+                pool: pool.clone(),
+                dc: view.dc.clone(),
+                vm: self.shared.me.vm.clone(),
+                open: view.open,
+                slowdown: view.slowdown.max(1.0),
+                calls: view.own_calls,
+            })
+        });
+        rows.collect()
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/daemon.rs
@@ -0,0 +1,257 @@
+//! Start and stop of a daemon.
+
+use crate::control::event::{Event, Events};
+use crate::control::{Control, Ready, Shared, TICK};
+use crate::http::{self, App};
+use crate::routes::{Member, Routes};
+use crate::settings::{Settings, millis};
+use crate::traffic::{session, vms, watch as watches};
+use anyhow::{Context, Result};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use peer::wire::{Reply, Request};
+use platform::kv;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+/// Bound of connecting to a peer or an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Count of requests under way.
+#[derive(Clone, Debug)]
+pub struct Flights(Arc<watch::Sender<usize>>);
+
+impl Default for Flights {
+    fn default() -> Self {
+        Self(Arc::new(watch::Sender::new(0)))
+    }
+}
+
+impl Flights {
+    /// Counts a request until its guard is dropped.
+    pub fn begin(&self) -> Flight {
+        self.0.send_modify(|count| *count += 1);
+        Flight(self.clone())
+    }
+
+    /// Waits until no request is under way.
+    pub async fn landed(&self) {
+        let mut receiver = self.0.subscribe();
+        // The sender lives as long as `self`, so waiting cannot fail.
+        let _ = receiver.wait_for(|count| *count == 0).await;
+    }
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub struct Flight(Flights);
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.0.send_modify(|count| *count -= 1);
+    }
+}
+
+/// A running daemon.
+pub struct Daemon {
+    settings: Arc<Settings>,
+    events: Events,
+    flights: Flights,
+    ready: watch::Receiver<Ready>,
+    kv: kv::Client,
+    me: Member,
+    shutdown: rocket::Shutdown,
+    server: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon; it serves once the platform has given it a lease and the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address is taken or a client cannot be set up.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let settings = Arc::new(settings);
+        let timeout = millis(settings.limits.platform_timeout_ms);
+        let kv = kv::Client::new(&settings.platform.kv, timeout).context("key-value client")?;
+        let vm_list = platform::vms::Client::new(&settings.platform.vms, timeout)?;
+        let listener = TcpListener::bind(settings.peer_addr).await.with_context(|| {
+            format!("peer_addr {} cannot be bound; is another daemon running?", settings.peer_addr)
+        })?;
+        let (events, receiver) = Events::channel();
+        let (ready_sender, ready) = watch::channel(Ready::default());
+        let shared = shared(&settings, &kv, &events)?;
+        let entry = shared.entry();
+        let flights = Flights::default();
+        let app = App {
+            settings: settings.clone(),
+            entry,
+            events: events.clone(),
+            kv: kv.clone(),
+            ready: ready.clone(),
+            flights: flights.clone(),
+            metrics: recorder(),
+        };
+        let rocket = http::build(app).ignite().await;
+        let rocket = rocket.map_err(|error| anyhow::anyhow!("HTTP server: {}", error.kind()))?;
+        let shutdown = rocket.shutdown();
+        let tasks = vec![
+            tokio::spawn(serve_peers(listener, settings.clone(), events.clone(), flights.clone())),
+            tokio::spawn(session::hold(
+                kv.clone(),
+                events.clone(),
+                shared.me.clone(),
+                millis(settings.limits.lease_ttl_ms),
+            )),
+            tokio::spawn(watches::live(kv.clone(), shared.routes.clone())),
+            tokio::spawn(watches::config(kv.clone(), events.clone())),
+            tokio::spawn(vms::poll(
+                vm_list,
+                events.clone(),
+                millis(settings.limits.vms_interval_ms),
+            )),
+            tokio::spawn(tick(events.clone())),
+        ];
+        let me = shared.me.clone();
+        let control = Control::new(shared, ready_sender, Instant::now());
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || control.run(receiver))
+            .context("the control thread cannot start")?;
+        let server = tokio::spawn(async move {
+            if let Err(error) = rocket.launch().await {
+                log::error!("the HTTP server ended: {}", error.kind());
+            }
+        });
+        log::info!("{} takes callers at {}", settings.vm, settings.http_addr);
+        Ok(Self { settings, events, flights, ready, kv, me, shutdown, server, tasks })
+    }
+
+    /// Waits until the daemon serves.
+    pub async fn ready(&self) {
+        let mut ready = self.ready.clone();
+        // The control thread runs until the daemon is stopped.
+        let _ = ready.wait_for(|ready| ready.serving).await;
+    }
+
+    /// Stops in order: takes no new programs, hands the logs off, and ends what is under way.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when logs or requests are left after the longest wait.
+    pub async fn stop(self) -> Result<()> {
+        log::info!("{} is stopping", self.settings.vm);
+        let wait = millis(self.settings.limits.stop_wait_ms);
+        let (done, stopped) = oneshot::channel();
+        self.events.send(Event::Stop(done));
+        let handed_off = tokio::time::timeout(wait, stopped).await.is_ok();
+        let landed = tokio::time::timeout(wait, self.flights.landed()).await.is_ok();
+        self.leave().await;
+        self.shutdown.notify();
+        // The server ends within its own grace period.
+        let _ = self.server.await;
+        self.events.send(Event::Quit);
+        for task in &self.tasks {
+            task.abort();
+        }
+        anyhow::ensure!(handed_off, "logs were left when the wait for their hand-off ended");
+        anyhow::ensure!(landed, "requests were left when the wait for their end ended");
+        log::info!("{} has stopped", self.settings.vm);
+        Ok(())
+    }
+
+    /// Deletes the member key, so that a successor on this VM need not wait for the lease to lapse.
+    async fn leave(&self) {
+        let key = crate::traffic::keys::member(&self.me.vm);
+        if let Ok(Some(entry)) = self.kv.get(&key).await {
+            // When this is lost, the key lapses with the lease.
+            let _ = self.kv.delete(&key, entry.revision).await;
+        }
+    }
+}
+
+fn shared(settings: &Arc<Settings>, kv: &kv::Client, events: &Events) -> Result<Shared> {
+    let me = Member {
+        vm: settings.vm.clone(),
+        dc: settings.dc.clone(),
+        peer_addr: compact_str::format_compact!("{}", settings.peer_addr),
+        incarnation: fastrand::u64(1..),
+        stopping: false,
+    };
+    let http = reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .build()
+        .context("HTTP client")?;
+    Ok(Shared {
+        settings: settings.clone(),
+        me,
+        kv: kv.clone(),
+        http,
+        peers: peer::client::Client::new(settings.keys.cluster.as_bytes(), CONNECT_TIMEOUT),
+        routes: Routes::default(),
+        events: events.clone(),
+        runtime: Handle::current(),
+    })
+}
+
+/// Installs the process's metrics recorder once; daemons in one process share it.
+fn recorder() -> PrometheusHandle {
+    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        if metrics::set_global_recorder(recorder).is_err() {
+            log::warn!("another metrics recorder is installed; /metrics stays empty");
+        }
+        handle
+    };
+    RECORDER.get_or_init(install).clone()
+}
+
+async fn tick(events: Events) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        events.send(Event::Tick);
+    }
+}
+
+async fn serve_peers(
+    listener: TcpListener,
+    settings: Arc<Settings>,
+    events: Events,
+    flights: Flights,
+) {
+    let key: Arc<[u8]> = settings.keys.cluster.as_bytes().into();
+    let handle = move |request, outbox| {
+        let flight = matches!(request, Request::Ask(..)).then(|| flights.begin());
+        take_request(&events, request, outbox);
+        flight
+    };
+    if let Err(error) = peer::server::serve(listener, key, handle).await {
+        log::error!("peers are not served any more: {error}");
+    }
+}
+
+fn take_request(events: &Events, request: Request, outbox: mpsc::Sender<Reply>) {
+    match request {
+        Request::Ask(asker, ask) => events.send(Event::Ask { asker, ask, outbox }),
+        Request::Report(report) => events.send(Event::Report(report)),
+        Request::Query(query) => {
+            let (sender, answer) = oneshot::channel();
+            events.send(Event::Query(query, sender));
+            tokio::spawn(async move {
+                if let Ok(answer) = answer.await {
+                    // A peer that has gone needs no answer.
+                    let _ = outbox.send(Reply::Answer(Box::new(answer))).await;
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/http/admin.rs
@@ -0,0 +1,6 @@
+//! Operators' routes.
+
+/// The operators' routes.
+pub fn routes() -> Vec<rocket::Route> {
+    Vec::new()
+}
--- /dev/null
+++ b/crates/catkinshed/src/http/auth.rs
@@ -0,0 +1,55 @@
+//! Tokens of callers and operators.
+
+use super::App;
+use compact_str::CompactString;
+use peer::wire::Asker;
+use rocket::Request;
+use rocket::http::Status;
+use rocket::request::{FromRequest, Outcome};
+use sched::id::TeamId;
+
+/// A team whose caller's token the request carries.
+pub struct Team(pub TeamId);
+
+/// An operator whose token the request carries.
+pub struct Operator(pub CompactString);
+
+impl From<Team> for Asker {
+    fn from(team: Team) -> Self {
+        Self::Team(team.0)
+    }
+}
+
+fn token<'r>(request: &'r Request<'_>) -> Option<&'r str> {
+    request.headers().get_one("Authorization")?.strip_prefix("Bearer ")
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Team {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let app = request.rocket().state::<App>();
+        let keys = app.map(|app| &app.settings.keys.teams);
+        let team = keys.zip(token(request)).and_then(|(keys, token)| keys.get(token));
+        match team {
+            Some(team) => Outcome::Success(Self(team.clone())),
+            None => Outcome::Error((Status::Unauthorized, ())),
+        }
+    }
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Operator {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let app = request.rocket().state::<App>();
+        let keys = app.map(|app| &app.settings.keys.operators);
+        let name = keys.zip(token(request)).and_then(|(keys, token)| keys.get(token));
+        match name {
+            Some(name) => Outcome::Success(Self(name.clone())),
+            None => Outcome::Error((Status::Unauthorized, ())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/main.rs
@@ -0,0 +1,7 @@
+//! Command line of the daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    catkinshed::cli::main()
+}
--- /dev/null
+++ b/crates/catkinshed/src/ops/mod.rs
@@ -0,0 +1,4 @@
+//! Commands of the command line.
+
+pub mod check;
+pub mod run;
--- /dev/null
+++ b/crates/catkinshed/src/ops/run.rs
@@ -0,0 +1,25 @@
+//! `catkinshed`: runs the daemon until it is told to stop.
+
+use crate::daemon::Daemon;
+use crate::settings::Settings;
+use anyhow::{Context, Result};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Runs the daemon until SIGTERM or SIGINT, then stops it in order.
+///
+/// # Errors
+///
+/// Returns an error when the daemon cannot start; the message says what to do.
+pub fn run(settings: Settings) -> Result<()> {
+    let runtime = tokio::runtime::Runtime::new().context("the runtime cannot start")?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let daemon = Daemon::start(settings).await?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        daemon.stop().await
+    })
+}
--- /dev/null
+++ b/crates/catkinshed/src/traffic/grants.rs
@@ -0,0 +1,70 @@
+//! Drawing from account ledgers.
+
+use super::backoff;
+use super::keys;
+use platform::kv::{Client, Error, Swap};
+use sched::grant::{Fault, Ledger, Request};
+use sched::id::Tokens;
+
+/// Tries of a draw that races with others or meets failures.
+const TRIES: usize = 12;
+
+/// Why a log's grant is not known.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The key-value service failed.
+    #[error(transparent)]
+    Platform(#[from] Error),
+    /// The owner is out of date.
+    #[error(transparent)]
+    Stale(#[from] Fault),
+    /// The ledger is damaged.
+    #[error("the account's ledger is damaged")]
+    Damaged,
+    /// Other logs changed the ledger each time.
+    #[error("the account's ledger is contended")]
+    Contended,
+}
+
+/// Sets a log's grant and returns it.
+///
+/// Repeating a draw whose answer was lost gives the same grant, so it is tried again.
+///
+/// # Errors
+///
+/// Returns a [`Failure`]; the grant is then what the ledger says, and a later draw learns it.
+pub async fn draw(kv: &Client, account: &str, request: Request) -> Result<Tokens, Failure> {
+    let mut backoff = backoff::platform();
+    let mut failure = Failure::Contended;
+    for _ in 0..TRIES {
+        match draw_once(kv, account, request).await {
+            Ok(Some(tokens)) => return Ok(tokens),
+            Ok(None) => failure = Failure::Contended,
+            Err(Failure::Platform(error)) => failure = Failure::Platform(error),
+            Err(Failure::Stale(Fault::Behind)) => failure = Failure::Stale(Fault::Behind),
+            Err(other) => return Err(other),
+        }
+        backoff.wait().await;
+    }
+    Err(failure)
+}
+
+async fn draw_once(
+    kv: &Client,
+    account: &str,
+    request: Request,
+) -> Result<Option<Tokens>, Failure> {
+    let key = keys::grant(account);
+    let entry = kv.get(&key).await?;
+    let revision = entry.as_ref().map_or(0, |entry| entry.revision);
+    let mut ledger = match &entry {
+        Some(entry) => serde_json::from_slice(&entry.value).map_err(|_| Failure::Damaged)?,
+        None => Ledger::default(),
+    };
+    let tokens = ledger.settle(request)?;
+    let value = serde_json::to_vec(&ledger).map_err(|_| Failure::Damaged)?;
+    match kv.swap(&key, &value, revision, None).await? {
+        Swap::Done(_) => Ok(Some(tokens)),
+        Swap::Conflict => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/catkinshed/src/traffic/service.rs
@@ -0,0 +1,37 @@
+//! Requests to plain services and tools.
+
+use crate::control::event::{CallKey, Event, Events};
+use endpoint::service::{self, Error, Request};
+use std::time::{Duration, Instant};
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The service answered.
+    Done(String),
+    /// The service answered with an error status.
+    Status(u16, String),
+    /// The request never left.
+    Unsent(String),
+    /// The service may have run the request.
+    Unknown(String),
+}
+
+/// Sends a request and reports its end.
+pub async fn run(
+    http: reqwest::Client,
+    events: Events,
+    key: CallKey,
+    addr: String,
+    request: Request,
+) {
+    let started = Instant::now();
+    let end = match service::send(&http, &addr, &request).await {
+        Ok(text) => End::Done(text),
+        Err(Error::Status(status, text)) => End::Status(status, text),
+        Err(Error::Unreachable(reason)) => End::Unsent(reason),
+        Err(Error::Unknown(reason)) => End::Unknown(reason),
+    };
+    let took: Duration = started.elapsed();
+    events.send(Event::ServiceEnded { key, end, took });
+}
--- /dev/null
+++ b/crates/catkinshed/src/traffic/session.rs
@@ -0,0 +1,85 @@
+//! This daemon's lease and member key.
+
+use super::backoff;
+use super::keys;
+use crate::control::event::{Event, Events};
+use crate::routes::Member;
+use platform::kv::{Client, Error, LeaseId, Swap};
+use std::time::{Duration, Instant};
+
+/// Renewals in one life of the lease.
+const RENEWALS_PER_TTL: u32 = 3;
+
+/// Holds a lease and the member key for as long as the daemon runs.
+pub async fn hold(kv: Client, events: Events, me: Member, ttl: Duration) {
+    let mut backoff = backoff::platform();
+    loop {
+        match hold_once(&kv, &events, &me, ttl).await {
+            Err(Error::LeaseLapsed) => {
+                metrics::counter!("lease_lapses_total").increment(1);
+                log::warn!("the lease of {} lapsed; a new one is taken", me.vm);
+            }
+            Err(error) => {
+                log::debug!("no lease yet: {error}");
+                events.send(Event::Platform(false));
+            }
+            Ok(()) => return,
+        }
+        backoff.wait().await;
+    }
+}
+
+async fn hold_once(kv: &Client, events: &Events, me: &Member, ttl: Duration) -> Result<(), Error> {
+    let asked = Instant::now();
+    let lease = kv.grant(ttl).await?;
+    register(kv, me, lease).await?;
+    events.send(Event::Lease { lease: Some(lease), renewed: asked });
+    let mut backoff = backoff::platform();
+    loop {
+        tokio::time::sleep(ttl / RENEWALS_PER_TTL).await;
+        renew(kv, events, lease, &mut backoff).await?;
+    }
+}
+
+async fn renew(
+    kv: &Client,
+    events: &Events,
+    lease: LeaseId,
+    backoff: &mut backoff::Backoff,
+) -> Result<(), Error> {
+    loop {
+        let asked = Instant::now();
+        match kv.keep_alive(lease).await {
+            Ok(()) => {
+                *backoff = backoff::platform();
+                events.send(Event::Lease { lease: Some(lease), renewed: asked });
+                return Ok(());
+            }
+            Err(Error::LeaseLapsed) => {
+                events.send(Event::Lease { lease: None, renewed: asked });
+                return Err(Error::LeaseLapsed);
+            }
+            Err(error) => {
+                log::debug!("the lease is not renewed yet: {error}");
+                events.send(Event::Platform(false));
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+async fn register(kv: &Client, me: &Member, lease: LeaseId) -> Result<(), Error> {
+    let value = serde_json::to_vec(me).map_err(|error| Error::Malformed(error.to_string()))?;
+    let key = keys::member(&me.vm);
+    let mut backoff = backoff::platform();
+    loop {
+        match kv.create(&key, &value, Some(lease)).await {
+            Ok(Swap::Done(_)) => return Ok(()),
+            // The key of an earlier process on this VM lapses with that process's lease.
+            Ok(Swap::Conflict) | Err(Error::Unknown(_)) => {}
+            Err(error) => return Err(error),
+        }
+        kv.keep_alive(lease).await?;
+        backoff.wait().await;
+    }
+}
--- /dev/null
+++ b/crates/peer/src/frame.rs
@@ -0,0 +1,94 @@
+//! Length-prefixed `bincode` frames over an `h2` stream.
+
+use crate::Error;
+use bytes::{BufMut, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::future::poll_fn;
+
+/// Longest frame, in bytes.
+pub(crate) const MAX_FRAME_BYTES: usize = 8 << 20;
+const LENGTH_BYTES: usize = 4;
+
+/// Encodes one frame with its length.
+pub(crate) fn encode(value: &impl Serialize) -> Result<Bytes, Error> {
+    let body = bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .map_err(|error| Error::Malformed(error.to_string()))?;
+    if body.len() > MAX_FRAME_BYTES {
+        return Err(Error::Malformed(format!("{} bytes exceed the frame limit", body.len())));
+    }
+    let mut frame = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    frame.put_u32(body.len() as u32);
+    frame.extend_from_slice(&body);
+    Ok(frame.freeze())
+}
+
+/// Sends bytes as fast as the other side's window allows.
+pub(crate) async fn send(
+    stream: &mut SendStream<Bytes>,
+    mut bytes: Bytes,
+    end: bool,
+) -> Result<(), Error> {
+    while !bytes.is_empty() {
+        stream.reserve_capacity(bytes.len());
+        let granted = poll_fn(|context| stream.poll_capacity(context)).await;
+        let granted = granted.ok_or_else(|| Error::Broken("the stream is closed".to_owned()))??;
+        let part = bytes.split_to(granted.min(bytes.len()));
+        let last = end && bytes.is_empty();
+        stream.send_data(part, last)?;
+    }
+    Ok(())
+}
+
+/// Reads frames from a stream.
+pub(crate) struct Reader {
+    stream: RecvStream,
+    buffer: BytesMut,
+}
+
+impl Reader {
+    pub(crate) fn new(stream: RecvStream) -> Self {
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    /// Returns the next frame, or `None` when the stream ended between frames.
+    pub(crate) async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Error> {
+        loop {
+            if let Some(body) = self.take()? {
+                return decode(&body).map(Some);
+            }
+            match self.stream.data().await {
+                Some(chunk) => self.extend(&chunk?)?,
+                None if self.buffer.is_empty() => return Ok(None),
+                None => return Err(Error::Broken("the stream ended inside a frame".to_owned())),
+            }
+        }
+    }
+
+    fn extend(&mut self, chunk: &Bytes) -> Result<(), Error> {
+        self.stream.flow_control().release_capacity(chunk.len())?;
+        self.buffer.extend_from_slice(chunk);
+        Ok(())
+    }
+
+    fn take(&mut self) -> Result<Option<Bytes>, Error> {
+        let Some(length) = self.buffer.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(Error::Malformed(format!("{length} bytes exceed the frame limit")));
+        }
+        if self.buffer.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        let frame = self.buffer.split_to(LENGTH_BYTES + length).freeze();
+        Ok(Some(frame.slice(LENGTH_BYTES..)))
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
+    decoded.map(|(value, _)| value).map_err(|error| Error::Malformed(error.to_string()))
+}
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions of the scheduler, free of input and output.
+//!
+//! Every function that depends on the present takes it as an argument, so a test can drive any
+//! schedule. The daemon feeds these types with events and carries out what they decide:
+//!
+//! * [`log`] is the replicated-by-replay state of the programs that live in one log;
+//! * [`config`] is the operators' configuration, replayed from its numbered changes;
+//! * [`grant`] is the account ledger that several logs draw from;
+//! * [`queue`], [`place`], [`predict`] and [`health`] choose which call runs next, and where;
+//! * [`members`] assigns logs and endpoints to live daemons.
+
+pub mod call;
+pub mod config;
+pub mod grant;
+pub mod health;
+pub mod id;
+pub mod log;
+pub mod members;
+pub mod place;
+pub mod predict;
+pub mod program;
+pub mod queue;
+pub mod record;
+pub mod refusal;
--- /dev/null
+++ b/crates/sched/src/log.rs
@@ -0,0 +1,298 @@
+//! State of one log, rebuilt by replaying its entries.
+//!
+//! [`State::apply`] is a pure function of the state and the entry, so every owner that replays the
+//! same segments holds the same state. An entry that does not fit the state is a [`Fault`]; the
+//! owner never writes such an entry, so a fault on replay means that the log is damaged.
+
+use crate::call::{Call, Outcome, Turn};
+use crate::id::{self, AccountId, CallId, Epoch, LogId, ProgramId, Tokens};
+use crate::program::{Open, Program};
+use crate::record::{Ending, Record, Spec};
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// An entry that does not fit the state it is applied to.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The epoch did not rise.
+    #[error("takeover with epoch {found} after epoch {last}")]
+    Epoch {
+        /// Epoch of the entry.
+        found: Epoch,
+        /// Epoch of the state.
+        last: Epoch,
+    },
+    /// The program is not in this log.
+    #[error("program {0} is not in this log")]
+    NoProgram(ProgramId),
+    /// The program is already in this log.
+    #[error("program {0} exists already")]
+    Exists(ProgramId),
+    /// The program has ended.
+    #[error("program {0} has ended")]
+    Ended(ProgramId),
+    /// The call is not the program's next or open one.
+    #[error("call {1} of program {0} is not the expected one")]
+    Call(ProgramId, CallId),
+    /// The entry would take the program past its budget.
+    #[error("program {0} would exceed its budget")]
+    Budget(ProgramId),
+}
+
+/// Tokens that one log has used of an account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens charged by outcomes.
+    pub spent: Tokens,
+    /// Tokens set aside or unsettled.
+    pub held: Tokens,
+}
+
+impl Usage {
+    /// Tokens that the log's grant must cover.
+    pub fn total(self) -> Tokens {
+        self.spent + self.held
+    }
+}
+
+/// Programs of one log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The log's number.
+    pub log: LogId,
+    /// Number of the last takeover.
+    pub epoch: Epoch,
+    /// Whether the last owner handed the log off.
+    pub clean: bool,
+    /// Programs by id, in order of creation.
+    pub programs: IndexMap<ProgramId, Program>,
+    /// Use of each account by this log, ended programs included.
+    pub accounts: IndexMap<AccountId, Usage>,
+    keys: IndexMap<CompactString, ProgramId>,
+    created: u64,
+}
+
+impl State {
+    /// An empty log.
+    pub fn new(log: LogId) -> Self {
+        Self { log, clean: true, ..Self::default() }
+    }
+
+    /// Id that the next program gets.
+    pub fn next_program(&self) -> ProgramId {
+        id::program(self.log, self.created + 1)
+    }
+
+    /// Finds the program that `team` created under `key`.
+    pub fn by_key(&self, team: &str, key: &str) -> Option<&ProgramId> {
+        self.keys.get(&scoped_key(team, key))
+    }
+
+    /// Use of `account` by this log.
+    pub fn usage(&self, account: &str) -> Usage {
+        self.accounts.get(account).copied().unwrap_or_default()
+    }
+
+    /// Applies one entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] and leaves the state unchanged when the entry does not fit.
+    pub fn apply(&mut self, record: &Record) -> Result<(), Fault> {
+        match record {
+            Record::Takeover { epoch, .. } => self.take_over(*epoch),
+            Record::Handoff => {
+                self.clean = true;
+                Ok(())
+            }
+            Record::Confirm => Ok(()),
+            Record::Create { program, spec } => self.create(program, spec),
+            Record::Intent { program, call } => self.intend(program, call),
+            Record::Placed { program, endpoint } => {
+                if let Some(open) = self.live(program)?.open.as_mut() {
+                    open.endpoint = Some(endpoint.clone());
+                }
+                Ok(())
+            }
+            Record::Outcome { program, call, outcome } => self.end_call(program, call, outcome),
+            Record::Restore { program, turn } => self.restore(program, turn),
+            Record::Allow { program, allowance } => self.allow(program, *allowance),
+            Record::Pin { program, endpoint } => {
+                self.find(program)?.pins.insert(endpoint.clone());
+                Ok(())
+            }
+            Record::Unpin { program, endpoint } => {
+                self.find(program)?.pins.shift_remove(endpoint);
+                Ok(())
+            }
+            Record::Prioritise { program, priority } => {
+                self.live(program)?.spec.priority = *priority;
+                Ok(())
+            }
+            Record::Finish { program, ending } => self.finish(program, *ending),
+            Record::Settle => {
+                self.settle();
+                Ok(())
+            }
+            Record::Forget { program } => self.forget(program),
+        }
+    }
+
+    fn find(&mut self, program: &ProgramId) -> Result<&mut Program, Fault> {
+        self.programs.get_mut(program).ok_or_else(|| Fault::NoProgram(program.clone()))
+    }
+
+    fn live(&mut self, program: &ProgramId) -> Result<&mut Program, Fault> {
+        let found = self.find(program)?;
+        match found.ending {
+            Some(_) => Err(Fault::Ended(program.clone())),
+            None => Ok(found),
+        }
+    }
+
+    fn take_over(&mut self, epoch: Epoch) -> Result<(), Fault> {
+        if epoch <= self.epoch {
+            return Err(Fault::Epoch { found: epoch, last: self.epoch });
+        }
+        self.epoch = epoch;
+        for program in self.programs.values_mut() {
+            if !self.clean || program.open.is_some() {
+                program.unsettled += std::mem::take(&mut program.allowance);
+            }
+            close_unrepeatable(program);
+        }
+        self.clean = false;
+        Ok(())
+    }
+
+    fn create(&mut self, id: &ProgramId, spec: &Spec) -> Result<(), Fault> {
+        if self.programs.contains_key(id) {
+            return Err(Fault::Exists(id.clone()));
+        }
+        self.created += 1;
+        if let Some(key) = &spec.key {
+            self.keys.insert(scoped_key(&spec.team, key), id.clone());
+        }
+        self.programs.insert(id.clone(), Program { spec: spec.clone(), ..Program::default() });
+        Ok(())
+    }
+
+    fn intend(&mut self, id: &ProgramId, call: &Call) -> Result<(), Fault> {
+        let program = self.live(id)?;
+        if program.open.is_some() || call.seq != program.next_seq() {
+            return Err(Fault::Call(id.clone(), call.id.clone()));
+        }
+        program.open = Some(Open { call: call.clone(), endpoint: None });
+        Ok(())
+    }
+
+    fn end_call(&mut self, id: &ProgramId, call: &CallId, outcome: &Outcome) -> Result<(), Fault> {
+        let program = self.find(id)?;
+        let open = program.open.take_if(|open| open.call.id == *call);
+        let Some(open) = open else {
+            return Err(Fault::Call(id.clone(), call.clone()));
+        };
+        let tokens = outcome.tokens();
+        if tokens > program.allowance {
+            program.open = Some(open);
+            return Err(Fault::Budget(id.clone()));
+        }
+        program.allowance -= tokens;
+        program.spent += tokens;
+        if *outcome != Outcome::NotRun {
+            program.turns.push(Turn { call: open.call, outcome: outcome.clone() });
+        }
+        let account = program.spec.account.clone();
+        let usage = self.accounts.entry(account).or_default();
+        usage.held -= tokens;
+        usage.spent += tokens;
+        Ok(())
+    }
+
+    fn restore(&mut self, id: &ProgramId, turn: &Turn) -> Result<(), Fault> {
+        let program = self.live(id)?;
+        let call = &turn.call;
+        let foreign = program.open.as_ref().is_some_and(|open| open.call.id != call.id);
+        if foreign || call.seq != program.next_seq() {
+            return Err(Fault::Call(id.clone(), call.id.clone()));
+        }
+        let tokens = turn.outcome.tokens();
+        let settled = tokens.min(program.unsettled);
+        if tokens - settled > program.rest() {
+            return Err(Fault::Budget(id.clone()));
+        }
+        program.open = None;
+        program.unsettled -= settled;
+        program.spent += tokens;
+        program.turns.push(turn.clone());
+        let account = program.spec.account.clone();
+        let usage = self.accounts.entry(account).or_default();
+        usage.held -= settled;
+        usage.spent += tokens;
+        Ok(())
+    }
+
+    fn allow(&mut self, id: &ProgramId, allowance: Tokens) -> Result<(), Fault> {
+        let program = self.live(id)?;
+        if program.spent + program.unsettled + allowance > program.spec.budget {
+            return Err(Fault::Budget(id.clone()));
+        }
+        let before = std::mem::replace(&mut program.allowance, allowance);
+        let account = program.spec.account.clone();
+        let usage = self.accounts.entry(account).or_default();
+        usage.held = usage.held + allowance - before;
+        Ok(())
+    }
+
+    fn finish(&mut self, id: &ProgramId, ending: Ending) -> Result<(), Fault> {
+        let program = self.live(id)?;
+        if program.open.is_some() {
+            let call = program.open.as_ref().map(|open| open.call.id.clone()).unwrap_or_default();
+            return Err(Fault::Call(id.clone(), call));
+        }
+        program.ending = Some(ending);
+        let unused = std::mem::take(&mut program.allowance);
+        let account = program.spec.account.clone();
+        self.accounts.entry(account).or_default().held -= unused;
+        Ok(())
+    }
+
+    fn settle(&mut self) {
+        for program in self.programs.values_mut() {
+            let unsettled = std::mem::take(&mut program.unsettled);
+            if let Some(usage) = self.accounts.get_mut(&program.spec.account) {
+                usage.held -= unsettled;
+            }
+        }
+    }
+
+    fn forget(&mut self, id: &ProgramId) -> Result<(), Fault> {
+        if self.find(id)?.ending.is_none() {
+            return Err(Fault::Call(id.clone(), CallId::default()));
+        }
+        let Some(program) = self.programs.swap_remove(id) else {
+            return Ok(());
+        };
+        if let Some(usage) = self.accounts.get_mut(&program.spec.account) {
+            usage.held -= program.unsettled;
+            usage.spent += program.unsettled;
+        }
+        if let Some(key) = &program.spec.key {
+            self.keys.swap_remove(&scoped_key(&program.spec.team, key));
+        }
+        Ok(())
+    }
+}
+
+/// Ends an open call that must not run again as unknown.
+fn close_unrepeatable(program: &mut Program) {
+    let unrepeatable = program.open.take_if(|open| !open.call.work.idempotent());
+    if let Some(open) = unrepeatable {
+        program.turns.push(Turn { call: open.call, outcome: Outcome::Unknown });
+    }
+}
+
+fn scoped_key(team: &str, key: &str) -> CompactString {
+    compact_str::format_compact!("{team}/{key}")
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/testing/src/check.rs
@@ -0,0 +1,1 @@
+//! Checks of recorded histories.
--- /dev/null
+++ b/crates/testing/src/cluster.rs
@@ -0,0 +1,240 @@
+//! A cluster of stand-ins, with settings for daemons that run against them.
+
+use crate::engine::{self, Engine, SharedTally};
+use crate::faults::Switchboard;
+use crate::kv::{self, Kv};
+use crate::net;
+use crate::service::Service;
+use crate::vms::Vms;
+use catkinshed::settings::{Keys, Limits, Platform, Settings};
+use catkinshed::traffic::changes;
+use compact_str::{CompactString, format_compact};
+use indexmap::IndexMap;
+use platform::vms::{State, Vm};
+use sched::config::{Account, Action, Change, Edit, Endpoint, Kind, Pool, Team};
+use sched::id::{LogId, Tokens};
+use sched::queue::Policy;
+use std::time::Duration;
+
+/// Callers' token of the team `crew`.
+pub const CREW_TOKEN: &str = "crew-token";
+/// Callers' token of the team `vans`.
+pub const VANS_TOKEN: &str = "vans-token";
+/// Operators' token of the operator `ana`.
+pub const OPERATOR_TOKEN: &str = "ana-token";
+/// Key that the daemons share.
+pub const CLUSTER_KEY: &str = "a cluster key for tests";
+/// Data centres, in the order in which machines are spread over them.
+pub const DCS: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+
+/// Sizes and behaviour of a cluster.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Number of model engines.
+    pub engines: usize,
+    /// Behaviour of each engine.
+    pub engine: engine::Spec,
+    /// Number of services in the pool `booking`.
+    pub services: usize,
+    /// Time of a healthy service request.
+    pub service_time: Duration,
+    /// Behaviour of the key-value service.
+    pub kv: kv::Spec,
+    /// Lag of the VM list.
+    pub vm_lag: Duration,
+    /// Number of logs.
+    pub logs: LogId,
+    /// Limits of the daemons.
+    pub limits: Limits,
+    /// Policy of the daemons.
+    pub policy: Policy,
+    /// Limit of each team's account.
+    pub budget: Tokens,
+    /// Limits of the model pool.
+    pub pool: Pool,
+}
+
+impl Default for Spec {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            engine: engine::Spec::default(),
+            services: 1,
+            service_time: Duration::from_millis(5),
+            kv: kv::Spec::default(),
+            vm_lag: Duration::from_millis(200),
+            logs: 8,
+            limits: Limits { lease_ttl_ms: 2_000, ..Limits::default() },
+            policy: Policy::default(),
+            budget: 10_000_000,
+            pool: Pool { model: "planner".into(), ..Pool::default() },
+        }
+    }
+}
+
+/// Running stand-ins.
+pub struct Cluster {
+    /// Sizes and behaviour.
+    pub spec: Spec,
+    /// Faults.
+    pub faults: Switchboard,
+    /// Key-value service.
+    pub kv: Kv,
+    /// List of VMs.
+    pub vms: Vms,
+    /// Model engines.
+    pub engines: Vec<Engine>,
+    /// Plain services.
+    pub services: Vec<Service>,
+    /// What the engines did.
+    pub tally: SharedTally,
+}
+
+impl Cluster {
+    /// Starts the stand-ins and writes the first configuration.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a stand-in cannot start.
+    pub async fn start(spec: Spec) -> Self {
+        let faults = Switchboard::default();
+        let tally = SharedTally::default();
+        let kv = Kv::start(spec.kv.clone(), faults.clone()).await;
+        let mut engines = Vec::new();
+        for index in 0..spec.engines {
+            let name = format!("engine-{index}");
+            let engine_spec = engine::Spec { fences: index % 2 == 0, ..spec.engine.clone() };
+            engines.push(Engine::start(&name, engine_spec, faults.clone(), tally.clone()).await);
+        }
+        let mut services = Vec::new();
+        for index in 0..spec.services {
+            let name = format!("booking-{index}");
+            services.push(Service::start(&name, spec.service_time, faults.clone()).await);
+        }
+        let names = engines.iter().map(|e| &e.name).chain(services.iter().map(|s| &s.name));
+        let vms = names.enumerate().map(|(index, name)| Vm {
+            name: vm_of(name),
+            dc: dc_of(index),
+            state: State::Live,
+        });
+        let vms = Vms::start(vms.collect(), spec.vm_lag).await;
+        let cluster = Self { spec, faults, kv, vms, engines, services, tally };
+        cluster.write_config().await;
+        cluster
+    }
+
+    async fn write_config(&self) {
+        let client = self.kv_client();
+        let change = Change {
+            version: 1,
+            who: "harness".into(),
+            at_ms: 0,
+            why: "first configuration".to_owned(),
+            actions: self.actions(),
+        };
+        let written = changes::write(&client, &change).await;
+        assert!(written.is_ok_and(|won| won), "the first configuration is not written");
+    }
+
+    /// Client of the key-value service.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the HTTP client cannot be set up.
+    pub fn kv_client(&self) -> platform::kv::Client {
+        let client = platform::kv::Client::new(&self.kv.url(), Duration::from_secs(2));
+        client.expect("an HTTP client")
+    }
+
+    fn actions(&self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for team in ["crew", "vans"] {
+            actions.push(Action::Team(create(team, Team::default())));
+            let account = Account { team: team.into(), limit: self.spec.budget };
+            actions.push(Action::Budget(create(&format!("{team}-tokens"), account)));
+        }
+        actions.push(Action::Pool(create("models", self.spec.pool.clone())));
+        actions.push(Action::Pool(create("booking", Pool::default())));
+        for (index, engine) in self.engines.iter().enumerate() {
+            let endpoint = Endpoint {
+                kind: Kind::Engine,
+                pool: "models".into(),
+                addr: format_compact!("{}", engine.server.addr),
+                vm: vm_of(&engine.name),
+                dc: dc_of(index),
+                slots: self.spec.engine.slots,
+                memory: self.spec.engine.memory,
+                draining: false,
+            };
+            actions.push(Action::Endpoint(create(&engine.name, endpoint)));
+        }
+        for (index, service) in self.services.iter().enumerate() {
+            let endpoint = Endpoint {
+                kind: Kind::Service,
+                pool: "booking".into(),
+                addr: format_compact!("{}", service.server.addr),
+                vm: vm_of(&service.name),
+                dc: dc_of(self.engines.len() + index),
+                slots: 64,
+                ..Endpoint::default()
+            };
+            actions.push(Action::Endpoint(create(&service.name, endpoint)));
+        }
+        actions
+    }
+
+    /// Settings of the daemon with this number, on free addresses.
+    pub fn settings(&self, number: usize) -> Settings {
+        Settings {
+            vm: format_compact!("entry-{number}"),
+            dc: dc_of(number),
+            http_addr: net::free_addr(),
+            peer_addr: net::free_addr(),
+            platform: Platform { kv: self.kv.url().into(), vms: self.vms.url().into() },
+            logs: self.spec.logs,
+            policy: self.spec.policy,
+            limits: self.spec.limits.clone(),
+            keys: keys(),
+            ..Settings::default()
+        }
+    }
+
+    /// Tokens that the engines generated for a program.
+    pub fn generated(&self, program: &str) -> Tokens {
+        let tally = self.tally.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        tally.generated.get(program).copied().unwrap_or_default()
+    }
+
+    /// Requests that the services ran.
+    pub fn effects(&self) -> Vec<crate::service::Line> {
+        self.services.iter().flat_map(|service| service.ledger.lines()).collect()
+    }
+
+    /// Programs that engines hold memory for.
+    pub fn pinned(&self) -> Vec<CompactString> {
+        self.engines.iter().flat_map(Engine::pinned).collect()
+    }
+}
+
+/// Secrets of the harness.
+pub fn keys() -> Keys {
+    let teams = [(CREW_TOKEN, "crew"), (VANS_TOKEN, "vans")];
+    Keys {
+        cluster: CLUSTER_KEY.to_owned(),
+        teams: teams.iter().map(|(token, team)| ((*token).into(), (*team).into())).collect(),
+        operators: IndexMap::from([(OPERATOR_TOKEN.into(), "ana".into())]),
+    }
+}
+
+/// Name of the VM that an endpoint runs on.
+pub fn vm_of(endpoint: &str) -> CompactString {
+    format_compact!("vm-{endpoint}")
+}
+
+fn dc_of(index: usize) -> CompactString {
+    DCS[index % DCS.len()].into()
+}
+
+fn create<T>(name: &str, value: T) -> Edit<T> {
+    Edit { name: name.into(), from: None, to: Some(value) }
+}
--- /dev/null
+++ b/crates/testing/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for the outside systems, and a harness that runs daemons against them.
+//!
+//! Each stand-in speaks the protocol of the system that it takes the place of, over HTTP on
+//! loopback. All faults are switches of [`faults::Switchboard`].
+
+pub mod check;
+pub mod cluster;
+pub mod engine;
+pub mod faults;
+pub mod kv;
+pub mod net;
+pub mod process;
+pub mod program;
+pub mod service;
+pub mod vms;
--- /dev/null
+++ b/crates/testing/src/service.rs
@@ -0,0 +1,114 @@
+//! Stand-in for a plain service with a ledger.
+//!
+//! The service does not recognise repeats: each request that it runs adds a line to its ledger,
+//! which is the witness for effects that must happen at most once.
+
+use crate::faults::Switchboard;
+use crate::net::{self, Server};
+use compact_str::CompactString;
+use rocket::http::Status;
+use rocket::request::{FromRequest, Outcome};
+use rocket::{Request, State, post, routes};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Time after which a hung request is dropped by the service.
+const HANG: Duration = Duration::from_secs(60);
+
+/// One request that ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Line {
+    /// Program that asked.
+    pub program: CompactString,
+    /// Idempotency key of the request.
+    pub key: CompactString,
+    /// Operation.
+    pub op: CompactString,
+    /// Body.
+    pub body: String,
+}
+
+/// Requests that ran, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger(Arc<Mutex<Vec<Line>>>);
+
+impl Ledger {
+    /// Copies the ledger.
+    pub fn lines(&self) -> Vec<Line> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn add(&self, line: Line) -> usize {
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push(line);
+        lines.len()
+    }
+}
+
+/// A running stand-in.
+pub struct Service {
+    /// Its name.
+    pub name: CompactString,
+    /// Its server.
+    pub server: Server,
+    /// What it ran.
+    pub ledger: Ledger,
+}
+
+struct Shared {
+    name: CompactString,
+    ledger: Ledger,
+    faults: Switchboard,
+    time: Duration,
+}
+
+impl Service {
+    /// Starts the stand-in; a healthy request takes `time`.
+    pub async fn start(name: &str, time: Duration, faults: Switchboard) -> Self {
+        let ledger = Ledger::default();
+        let shared = Shared { name: name.into(), ledger: ledger.clone(), faults, time };
+        let rocket = rocket::build().manage(shared).mount("/", routes![run]);
+        Self { name: name.into(), server: net::launch(rocket).await, ledger }
+    }
+}
+
+struct Headers {
+    program: CompactString,
+    key: CompactString,
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Headers {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let header = |name| request.headers().get_one(name).unwrap_or_default().into();
+        Outcome::Success(Self { program: header("X-Program"), key: header("Idempotency-Key") })
+    }
+}
+
+#[post("/<op>", data = "<body>")]
+async fn run(
+    app: &State<Shared>,
+    op: &str,
+    headers: Headers,
+    body: String,
+) -> Result<String, Status> {
+    let faults = app.faults.of(&app.name);
+    if faults.refuse {
+        return Err(Status::ServiceUnavailable);
+    }
+    tokio::time::sleep(app.time.mul_f64(faults.slowdown) + faults.delay).await;
+    let line =
+        Line { program: headers.program, key: headers.key, op: op.into(), body: body.clone() };
+    let count = app.ledger.add(line);
+    if faults.hang {
+        tokio::time::sleep(HANG).await;
+    }
+    let lost =
+        faults.lose_answer_every > 0 && count.is_multiple_of(faults.lose_answer_every as usize);
+    match lost {
+        true => Err(Status::GatewayTimeout),
+        false => Ok(format!("{op} done: {body}")),
+    }
+}
