Check the promises over daemon processes while faults happen

Cause: nothing showed that order, history, budgets, engine memory and at-most-once effects survive kills, pauses past a lease, and outages of the key-value service.

Change: a seeded load of recorded clients against three daemon processes, twelve cases of faults, and one check per promise over the recorded history, the services' ledger and the engines' tally.

Found and mended on the way: - A booking answered with a receipt during an outage became 'unknown' at the next owner when the first was killed; a receipt now restores a turn whose outcome is unknown, and receipts can be handed back without a further call. - An owner resumed after a pause refused calls by its outdated history. While its lease is in doubt it now answers that it is not the owner, and during an outage it does not refuse by history.

--- a/crates/caller/src/api.rs
+++ b/crates/caller/src/api.rs
@@ -57,6 +57,14 @@
     pub receipts: Vec<String>,
 }
 
+/// Body of `POST /v1/programs/<program>/receipts`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Receipts {
+    /// Receipts of answers whose turns were not durable, in order.
+    pub receipts: Vec<String>,
+}
+
 /// One event of an answer's stream; the event's name is the variant's.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -3,7 +3,7 @@
 //! The client talks to any entry VM of a list. A call whose stream breaks is repeated under its id
 //! at the next entry VM, which gives the same answer without a second run.
 
-use crate::api::{Call, Create, Created, End, Event, History};
+use crate::api::{Call, Create, Created, End, Event, History, Receipts};
 use compact_str::CompactString;
 use futures::StreamExt;
 use sched::id::ProgramId;
@@ -118,6 +118,17 @@
         self.request(None, &format!("v1/programs/{program}"), true).await
     }
 
+    /// Hands receipts back, and returns once their turns are durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] for a refusal that is not worth repeating.
+    pub async fn settle(&mut self, program: &str, receipts: Vec<String>) -> Result<(), Error> {
+        let body = serde_json::to_value(Receipts { receipts }).unwrap_or_default();
+        let path = format!("v1/programs/{program}/receipts");
+        self.request(Some(&body), &path, true).await.map(|_: serde_json::Value| ())
+    }
+
     /// Finishes a program.
     ///
     /// # Errors
--- a/crates/catkinshed/src/control/asks.rs
+++ b/crates/catkinshed/src/control/asks.rs
@@ -28,7 +28,10 @@
         let Some(log) = ask.log() else {
             return reply(outbox, Reply::Refused(no_program()));
         };
-        if self.logs.get(&log).is_none_or(|owned| !owned.serves()) {
+        let serves = self.logs.get(&log).is_some_and(|owned| owned.serves());
+        // After a pause the lease may be another's; its next renewal will tell.
+        let doubtful = self.platform_up && !self.lease_fresh(now);
+        if !serves || doubtful {
             return reply(outbox, Reply::NotOwner);
         }
         let result = match ask {
@@ -56,8 +59,11 @@
 
     fn refuse(&self, outbox: &Outbox, refusal: Refusal, now: Instant) {
         metrics::counter!("refusals_total", "code" => format!("{:?}", refusal.code)).increment(1);
-        let refusal = self.qualify(refusal, now);
-        reply(outbox, Reply::Refused(refusal));
+        let refusal = match rests_on_history(refusal.code) && !self.lease_fresh(now) {
+            true => platform_down("the history here may be out of date"),
+            false => refusal,
+        };
+        reply(outbox, Reply::Refused(self.qualify(refusal, now)));
     }
 
     /// Says `unknown` in place of `not_run` where another owner may have run the call.
@@ -208,7 +214,8 @@
         let Some(found) = owned.state.programs.get(program) else {
             return Err(no_program());
         };
-        if running || found.ending.is_some() || found.turn(&turn.call.id).is_some() {
+        let known = found.turn(&turn.call.id).is_some_and(|turn| turn.outcome != Outcome::Unknown);
+        if running || found.ending.is_some() || known {
             return Ok(());
         }
         metrics::counter!("turns_restored_total").increment(1);
@@ -542,6 +549,19 @@
     }
 }
 
+/// Tells whether a refusal would be wrong where another daemon has taken the log over.
+fn rests_on_history(code: Code) -> bool {
+    matches!(
+        code,
+        Code::NotFound
+            | Code::OutOfOrder
+            | Code::PreviousUnfinished
+            | Code::CallMismatch
+            | Code::ProgramEnded
+            | Code::BudgetExhausted
+    )
+}
+
 fn no_program() -> Refusal {
     Refusal::not_run(Code::NotFound, "there is no such program")
 }
--- a/crates/catkinshed/src/http/caller.rs
+++ b/crates/catkinshed/src/http/caller.rs
@@ -28,7 +28,7 @@
 
 /// The callers' routes.
 pub fn routes() -> Vec<rocket::Route> {
-    routes![create, call, attach, read, finish, cancel]
+    routes![create, call, attach, receipts, read, finish, cancel]
 }
 
 #[post("/v1/programs", data = "<body>")]
@@ -86,9 +86,7 @@
     let flight = app.flights.begin();
     let body: api::Call = parse(app, body).await?;
     check_name("call", &body.call)?;
-    if body.receipts.len() > MAX_RECEIPTS {
-        return Err(Refusal::not_run(Code::TooLarge, "more than 64 receipts").into());
-    }
+    check_receipts(&body.receipts)?;
     let ask = Ask::Call {
         program: program.into(),
         call: Call { id: body.call, seq: body.seq, work: body.work },
@@ -114,6 +112,23 @@
     stream(app.entry.ask(team.into(), ask), flight).await
 }
 
+#[post("/v1/programs/<program>/receipts", data = "<body>")]
+async fn receipts(
+    app: &State<App>,
+    team: Team,
+    program: &str,
+    body: Data<'_>,
+) -> Result<Answer, Answer> {
+    let _flight = app.flights.begin();
+    let api::Receipts { receipts } = parse(app, body).await?;
+    check_receipts(&receipts)?;
+    let ask = Ask::Restore { program: program.into(), receipts };
+    match app.entry.ask(team.into(), ask).recv().await {
+        Some(Reply::Done) => Ok(Answer::json(&serde_json::json!({ "durable": true }))),
+        other => Err(unfit(other)),
+    }
+}
+
 #[get("/v1/programs/<program>")]
 async fn read(app: &State<App>, team: Team, program: &str) -> Result<Answer, Answer> {
     let _flight = app.flights.begin();
@@ -196,6 +211,13 @@
     })
 }
 
+fn check_receipts(receipts: &[String]) -> Result<(), Refusal> {
+    if receipts.len() <= MAX_RECEIPTS {
+        return Ok(());
+    }
+    Err(Refusal::not_run(Code::TooLarge, "more than 64 receipts"))
+}
+
 fn check_name(what: &str, name: &str) -> Result<(), Refusal> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
     if name.len() <= MAX_NAME_BYTES && name.bytes().all(plain) {
--- /dev/null
+++ b/crates/catkinshed/tests/failures.rs
@@ -0,0 +1,201 @@
+//! The promises under failure, over daemon processes and stand-ins on loopback.
+//!
+//! Each case runs a seeded load while faults happen, and checks the recorded history.
+
+use compact_str::CompactString;
+use platform::vms::State;
+use std::future::Future;
+use std::path::PathBuf;
+use std::time::Duration;
+use testing::check::{self, Evidence};
+use testing::cluster::{Cluster, Spec, vm_of};
+use testing::load;
+use testing::process::Process;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_catkinshed");
+const DAEMONS: usize = 3;
+
+struct Run {
+    cluster: Cluster,
+    daemons: Vec<Process>,
+    folder: PathBuf,
+}
+
+impl Run {
+    async fn start(name: &str, spec: Spec) -> Self {
+        let cluster = Cluster::start(spec).await;
+        let folder = std::env::temp_dir().join(format!("catkinshed-{}-{name}", std::process::id()));
+        let start = |number| Process::start(BINARY, &cluster, number, &folder);
+        let daemons: Vec<Process> = (0..DAEMONS).map(start).collect();
+        for daemon in &daemons {
+            daemon.ready().await;
+        }
+        Self { cluster, daemons, folder }
+    }
+
+    fn addrs(&self) -> Vec<CompactString> {
+        self.daemons.iter().map(Process::addr).collect()
+    }
+
+    async fn restart(&mut self, number: usize) {
+        self.daemons[number].restart(BINARY);
+        self.daemons[number].ready().await;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        // The folder may be gone already.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Runs a load while `faults` happen, and returns the evidence.
+async fn run_with<F, R>(name: &str, spec: Spec, load: load::Spec, faults: F) -> Evidence
+where
+    F: FnOnce(Run) -> R,
+    R: Future<Output = Run>,
+{
+    let run = Run::start(name, spec).await;
+    let addrs = run.addrs();
+    let clients = tokio::spawn({
+        let addrs = addrs.clone();
+        async move { load::run(&load, &addrs).await }
+    });
+    let run = faults(run).await;
+    let record = clients.await.expect("the load ends");
+    assert!(record.uncreated.is_empty(), "not created: {:?}", record.uncreated);
+    let evidence = load::gather(&run.cluster, record, &addrs).await;
+    let ended =
+        evidence.entries.iter().filter(|entry| matches!(entry.told, check::Told::Ended(..)));
+    println!("{name}: {} of {} calls ended", ended.count(), evidence.entries.len());
+    for entry in &evidence.entries {
+        if !matches!(entry.told, check::Told::Ended(..)) {
+            println!("{name}: {} {} {:?}", entry.program, entry.call.call, entry.told);
+        }
+    }
+    evidence
+}
+
+fn keep_promises(evidence: &Evidence) {
+    let violations = check::check(evidence);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+async fn sleep(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Names each case: its seed and the faults that happen during its load.
+macro_rules! promises_hold_while {
+    ($($name:ident($seed:expr, $run:ident) $faults:block)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread")]
+            async fn $name() {
+                let load = load::Spec { seed: $seed, ..load::Spec::default() };
+                #[allow(unused_mut)]
+                let faults = |mut $run: Run| async move {
+                    $faults
+                    $run
+                };
+                let evidence = run_with(stringify!($name), Spec::default(), load, faults).await;
+                keep_promises(&evidence);
+            }
+        )*
+    };
+}
+
+promises_hold_while! {
+    nothing_fails(11, run) {
+        run.daemons[0].ready().await;
+    }
+
+    a_daemon_is_killed_and_another_replaced(12, run) {
+        sleep(300).await;
+        run.daemons[0].kill();
+        sleep(1500).await;
+        run.restart(0).await;
+        sleep(300).await;
+        run.restart(1).await;
+    }
+
+    an_owner_is_paused_past_its_lease(13, run) {
+        sleep(300).await;
+        run.daemons[1].pause();
+        sleep(4000).await;
+        run.daemons[1].resume();
+    }
+
+    the_key_value_service_is_down(14, run) {
+        sleep(300).await;
+        run.cluster.faults.set(|state| state.kv.down = true);
+        sleep(3500).await;
+        run.cluster.faults.set(|state| state.kv.down = false);
+        sleep(10).await;
+        run.daemons[0].ready().await;
+    }
+
+    the_key_value_service_is_slow(15, run) {
+        run.cluster.faults.set(|state| state.kv.delay = Duration::from_millis(300));
+        sleep(3000).await;
+        run.cluster.faults.set(|state| state.kv.delay = Duration::ZERO);
+        run.daemons[0].ready().await;
+    }
+
+    the_key_value_service_loses_answers(16, run) {
+        run.cluster.faults.set(|state| state.kv.lose_answer_every = 3);
+        sleep(3000).await;
+        run.cluster.faults.set(|state| state.kv.lose_answer_every = 0);
+        run.daemons[0].ready().await;
+    }
+
+    a_daemon_is_killed_while_answers_are_lost(17, run) {
+        run.cluster.faults.set(|state| state.kv.lose_answer_every = 4);
+        sleep(500).await;
+        run.daemons[2].kill();
+        sleep(2500).await;
+        run.cluster.faults.set(|state| state.kv.lose_answer_every = 0);
+        run.restart(2).await;
+    }
+
+    an_owner_is_killed_during_an_outage(18, run) {
+        sleep(300).await;
+        run.cluster.faults.set(|state| state.kv.down = true);
+        sleep(1200).await;
+        run.daemons[0].kill();
+        sleep(1200).await;
+        run.cluster.faults.set(|state| state.kv.down = false);
+        run.restart(0).await;
+    }
+
+    endpoints_break_streams_and_lose_answers(19, run) {
+        for index in 0..2 {
+            run.cluster.faults.endpoint(&format!("engine-{index}"), |e| e.break_every = 3);
+        }
+        run.cluster.faults.endpoint("booking-0", |e| e.lose_answer_every = 4);
+        run.daemons[0].ready().await;
+    }
+
+    an_engine_refuses_and_returns(20, run) {
+        sleep(200).await;
+        run.cluster.faults.endpoint("engine-0", |e| e.refuse = true);
+        sleep(2000).await;
+        run.cluster.faults.endpoint("engine-0", |e| e.refuse = false);
+        run.daemons[0].ready().await;
+    }
+
+    an_endpoint_leaves_and_a_daemon_dies(21, run) {
+        sleep(300).await;
+        run.cluster.vms.set(&vm_of("engine-1"), Some(State::Leaving));
+        run.daemons[0].kill();
+        sleep(2500).await;
+        run.restart(0).await;
+    }
+
+    a_daemon_is_replaced_in_order(22, run) {
+        sleep(300).await;
+        let code = run.daemons[1].stop().await;
+        assert_eq!(code, Some(0), "the daemon did not stop in order");
+        run.restart(1).await;
+    }
+}
--- a/crates/sched/src/log.rs
+++ b/crates/sched/src/log.rs
@@ -213,19 +213,21 @@
     fn restore(&mut self, id: &ProgramId, turn: &Turn) -> Result<(), Fault> {
         let program = self.live(id)?;
         let call = &turn.call;
-        let foreign = program.open.as_ref().is_some_and(|open| open.call.id != call.id);
-        if foreign || call.seq != program.next_seq() {
-            return Err(Fault::Call(id.clone(), call.id.clone()));
-        }
         let tokens = turn.outcome.tokens();
         let settled = tokens.min(program.unsettled);
         if tokens - settled > program.rest() {
             return Err(Fault::Budget(id.clone()));
         }
-        program.open = None;
+        let known = program.turns.iter_mut().find(|known| known.call.id == call.id);
+        match known {
+            Some(known) if known.call == *call && known.outcome == Outcome::Unknown => {
+                known.outcome = turn.outcome.clone();
+            }
+            Some(_) => return Err(Fault::Call(id.clone(), call.id.clone())),
+            None => program.append(turn).map_err(|()| Fault::Call(id.clone(), call.id.clone()))?,
+        }
         program.unsettled -= settled;
         program.spent += tokens;
-        program.turns.push(turn.clone());
         let account = program.spec.account.clone();
         let usage = self.accounts.entry(account).or_default();
         usage.held -= settled;
--- a/crates/sched/src/program.rs
+++ b/crates/sched/src/program.rs
@@ -62,6 +62,17 @@
         self.turns.iter().rev().find(|turn| turn.call.id == *call)
     }
 
+    /// Appends a turn that was answered outside the log; fails when it is not the next one.
+    pub(crate) fn append(&mut self, turn: &Turn) -> Result<(), ()> {
+        let foreign = self.open.as_ref().is_some_and(|open| open.call.id != turn.call.id);
+        if foreign || turn.call.seq != self.next_seq() {
+            return Err(());
+        }
+        self.open = None;
+        self.turns.push(turn.clone());
+        Ok(())
+    }
+
     /// Whole history as one prompt, the text of ended turns in order.
     pub fn transcript(&self) -> String {
         let mut text = String::new();
--- a/crates/testing/src/engine.rs
+++ b/crates/testing/src/engine.rs
@@ -415,10 +415,10 @@
             opened: Mutex::new(0),
         });
         tokio::spawn(run_steps(shared.clone()));
-        let rocket = rocket::build()
-            .manage(shared.clone())
-            .mount("/", routes![complete, cancel, pins, release]);
-        Self { name: name.into(), server: net::launch(rocket).await, shared }
+        let state = shared.clone();
+        let routes = routes![complete, cancel, pins, release];
+        let server = net::launch(|rocket| rocket.manage(state).mount("/", routes)).await;
+        Self { name: name.into(), server, shared }
     }
 
     /// Programs that memory is pinned for.
--- a/crates/testing/src/kv.rs
+++ b/crates/testing/src/kv.rs
@@ -196,10 +196,9 @@
             counts: counts.clone(),
         });
         tokio::spawn(expire_leases(shared.clone()));
-        let rocket = rocket::build()
-            .manage(shared)
-            .mount("/v3", routes![range, txn, delete_range, grant, keep_alive, revoke, open_watch]);
-        Self { server: net::launch(rocket).await, counts }
+        let routes = routes![range, txn, delete_range, grant, keep_alive, revoke, open_watch];
+        let server = net::launch(|rocket| rocket.manage(shared).mount("/v3", routes)).await;
+        Self { server, counts }
     }
 
     /// Address for clients.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod faults;
 pub mod kv;
+pub mod load;
 pub mod net;
 pub mod process;
 pub mod program;
--- a/crates/testing/src/net.rs
+++ b/crates/testing/src/net.rs
@@ -31,7 +31,7 @@
 /// # Panics
 ///
 /// Panics when the server cannot start.
-pub async fn launch(rocket: Rocket<Build>) -> Server {
+pub async fn launch(build: impl FnOnce(Rocket<Build>) -> Rocket<Build>) -> Server {
     let addr = free_addr();
     let shutdown = rocket::config::Shutdown {
         ctrlc: false,
@@ -48,7 +48,7 @@
         shutdown,
         ..rocket::Config::release_default()
     };
-    let rocket = rocket.configure(config).ignite().await.expect("a valid server");
+    let rocket = build(rocket::custom(config)).ignite().await.expect("a valid server");
     let shutdown = rocket.shutdown();
     tokio::spawn(rocket.launch());
     while tokio::net::TcpStream::connect(addr).await.is_err() {
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -42,6 +42,7 @@
             .arg(path)
             .stdin(Stdio::null())
             .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "error".to_owned()))
+            .env("ROCKET_LOG_LEVEL", "off")
             .spawn()
             .expect("the daemon starts");
         Self { settings, child, folder }
--- a/crates/testing/src/service.rs
+++ b/crates/testing/src/service.rs
@@ -67,8 +67,8 @@
     pub async fn start(name: &str, time: Duration, faults: Switchboard) -> Self {
         let ledger = Ledger::default();
         let shared = Shared { name: name.into(), ledger: ledger.clone(), faults, time };
-        let rocket = rocket::build().manage(shared).mount("/", routes![run]);
-        Self { name: name.into(), server: net::launch(rocket).await, ledger }
+        let server = net::launch(|rocket| rocket.manage(shared).mount("/", routes![run])).await;
+        Self { name: name.into(), server, ledger }
     }
 }
 
--- a/crates/testing/src/vms.rs
+++ b/crates/testing/src/vms.rs
@@ -21,8 +21,9 @@
     /// Starts the stand-in with these VMs; changes show after `lag`.
     pub async fn start(vms: Vec<Vm>, lag: Duration) -> Self {
         let log: Log = Arc::new(Mutex::new(vec![(Instant::now(), vms)]));
-        let rocket = rocket::build().manage(log.clone()).mount("/", routes![list]);
-        Self { server: net::launch(rocket).await, lag, log }
+        let state = log.clone();
+        let server = net::launch(|rocket| rocket.manage(state).mount("/", routes![list])).await;
+        Self { server, lag, log }
     }
 
     /// Address of the list.
