--- a/crates/catkinshed/src/control/mod.rs
+++ b/crates/catkinshed/src/control/mod.rs
@@ -200,6 +200,8 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Ask { asker, ask, outbox } => self.ask(&asker, *ask, &outbox, now),
+            // Before the configuration is read, the version here would seem to have gone back.
+            Event::Query(..) if !self.config_read => {}
             Event::Query(query, answer) => {
                 // An operator that has gone needs no answer.
                 let _ = answer.send(self.answer(&query, now));
--- a/crates/catkinshed/src/http/admin.rs
+++ b/crates/catkinshed/src/http/admin.rs
@@ -43,6 +43,9 @@
         Fault::Conflict(current) => {
             failure(Status::Conflict, "version_conflict", message, Some(*current))
         }
+        Fault::NotYet(current) => {
+            failure(Status::ServiceUnavailable, "not_yet", message, Some(*current))
+        }
         Fault::Missing(_) => failure(Status::NotFound, "not_found", message, None),
         Fault::Refused(refusal) => {
             let status = Status::new(refusal.code.status());
--- a/crates/catkinshed/src/ops/admin/change.rs
+++ b/crates/catkinshed/src/ops/admin/change.rs
@@ -19,8 +19,7 @@
 
 /// Changes the configuration.
 pub(super) async fn run(app: &App, who: &str, command: &Command) -> Result<Response, Fault> {
-    let mut config = app.config().await?;
-    check_version(command, &config)?;
+    let mut config = config_for(app, command).await?;
     let change = change(who, command, &config, action(&config, &command.verb)?);
     let actions = change.actions.clone();
     config.apply(&change)?;
@@ -49,8 +48,7 @@
 ) -> Result<Version, Fault> {
     let started = tokio::time::Instant::now();
     loop {
-        let config = app.config().await?;
-        check_version(command, &config)?;
+        let config = config_for(app, command).await?;
         let change = change(who, command, &config, action.clone());
         match write(app, &change).await {
             Ok(()) => return Ok(change.version),
@@ -62,10 +60,22 @@
     }
 }
 
-fn check_version(command: &Command, config: &Config) -> Result<(), Fault> {
-    match command.version {
-        Some(expected) if expected != config.version => Err(Fault::Conflict(config.version)),
-        _ => Ok(()),
+/// Reads the configuration that a command is meant for, and waits where this daemon is behind it.
+async fn config_for(app: &App, command: &Command) -> Result<Config, Fault> {
+    let started = tokio::time::Instant::now();
+    loop {
+        let config = app.config().await?;
+        match command.version {
+            Some(expected) if expected < config.version => {
+                return Err(Fault::Conflict(config.version));
+            }
+            Some(expected) if expected > config.version => {}
+            _ => return Ok(config),
+        }
+        if started.elapsed() > FORCE_WAIT {
+            return Err(Fault::NotYet(config.version));
+        }
+        tokio::time::sleep(FORCE_POLL).await;
     }
 }
 
--- a/crates/catkinshed/src/ops/admin/mod.rs
+++ b/crates/catkinshed/src/ops/admin/mod.rs
@@ -29,6 +29,9 @@
     /// Another change came first.
     #[error("version {0} is in force already; read it, and give the command again")]
     Conflict(Version),
+    /// The version that the command was written for is not in force here yet.
+    #[error("version {0} is in force here, and the command is for a later one")]
+    NotYet(Version),
     /// There is no such program.
     #[error("no daemon knows program {0}")]
     Missing(compact_str::CompactString),
--- a/crates/catkinshed/src/traffic/adopt.rs
+++ b/crates/catkinshed/src/traffic/adopt.rs
@@ -104,7 +104,7 @@
         Err(error) => return Err(error.into()),
     }
     match kv.get(&key).await? {
-        Some(entry) if entry.value == value => Ok(entry.revision),
+        Some(entry) if entry.value == value && entry.lease == lease => Ok(entry.revision),
         _ => Err(Failure::Held),
     }
 }
--- a/crates/catkinshed/src/traffic/session.rs
+++ b/crates/catkinshed/src/traffic/session.rs
@@ -75,10 +75,15 @@
     loop {
         match kv.create(&key, &value, Some(lease)).await {
             Ok(Swap::Done(_)) => return Ok(()),
-            // The key of an earlier process on this VM lapses with that process's lease.
             Ok(Swap::Conflict) | Err(Error::Unknown(_)) => {}
             Err(error) => return Err(error),
         }
+        // The answer to the creation may have been lost. The key of an earlier process on this VM,
+        // or of an earlier lease, lapses with that lease.
+        let found = kv.get(&key).await?;
+        if found.is_some_and(|found| found.value == value && found.lease == lease) {
+            return Ok(());
+        }
         kv.keep_alive(lease).await?;
         backoff.wait().await;
     }
--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -52,6 +52,8 @@
     pub value: Vec<u8>,
     /// Its modification revision.
     pub revision: Revision,
+    /// Lease that it is bound to; 0 for none.
+    pub lease: LeaseId,
 }
 
 /// A change that a watch reports.
@@ -369,7 +371,7 @@
     let key = wire::decode(&kv.key).ok_or_else(malformed)?;
     let key = CompactString::from_utf8(key).map_err(|_| malformed())?;
     let value = wire::decode(&kv.value).ok_or_else(malformed)?;
-    Ok(Entry { key, value, revision: number(&kv.mod_revision)? })
+    Ok(Entry { key, value, revision: number(&kv.mod_revision)?, lease: number(&kv.lease)? })
 }
 
 fn watch_line(line: &[u8]) -> Result<(Vec<Event>, Revision), Error> {
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -18,6 +18,7 @@
     pub key: String,
     pub value: String,
     pub mod_revision: String,
+    pub lease: String,
 }
 
 #[derive(Debug, Serialize)]
--- a/crates/testing/src/engine.rs
+++ b/crates/testing/src/engine.rs
@@ -426,6 +426,11 @@
         pinned(&self.shared.lock())
     }
 
+    /// Orders that arrived.
+    pub fn orders(&self) -> u32 {
+        *self.shared.opened.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Streams that wait or run.
     pub fn busy(&self) -> usize {
         let core = self.shared.lock();
--- a/crates/testing/src/net.rs
+++ b/crates/testing/src/net.rs
@@ -2,6 +2,7 @@
 
 use rocket::{Build, Rocket};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// A running server; it ends when dropped.
 pub struct Server {
@@ -16,14 +17,27 @@
     }
 }
 
-/// Finds a loopback address whose port is free now.
+/// Ports below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// Finds a loopback address whose port is free now and was not given out in this process before.
 ///
 /// # Panics
 ///
 /// Panics when no port can be bound.
 pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
-    listener.local_addr().expect("a bound address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let size = PORTS.end - PORTS.start;
+    let first = (std::process::id().wrapping_mul(97) % u32::from(size)) as u16;
+    for _ in 0..size {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed) % size;
+        let port = PORTS.start + (first + step) % size;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+    panic!("no loopback port is free");
 }
 
 /// Starts a server on loopback.
@@ -50,7 +64,11 @@
     };
     let rocket = build(rocket::custom(config)).ignite().await.expect("a valid server");
     let shutdown = rocket.shutdown();
-    tokio::spawn(rocket.launch());
+    tokio::spawn(async move {
+        if let Err(error) = rocket.launch().await {
+            panic!("the server at {addr} ended: {}", error.kind());
+        }
+    });
     while tokio::net::TcpStream::connect(addr).await.is_err() {
         tokio::time::sleep(std::time::Duration::from_millis(5)).await;
     }
