Add the crest run, and judge endpoints' pace by the median gap between tokens

Cause: with one daemon lost at the crest, calls were moved 83 times although no engine was slowed. One stream's stall, after a preemption or behind another's prompt, counted as the engine's pace. Ruled out: the step time, which at most doubles with the batch.

Change: a report gives the median gap between tokens in place of their mean. Operations are also refused after the wait for an owner where the control thread of the asked daemon has ended; before, each broken try began the wait anew. Programs of other daemons show again in 'show programs': the reasons for waiting were encoded in a form that bincode cannot decode.

--- /dev/null
+++ b/crates/catkinshed/examples/crest/drive.rs
@@ -0,0 +1,170 @@
+//! One run of one policy.
+
+use crate::arrivals::{self, BEFORE, Program};
+use crate::report::{Run, Sample, Scenario};
+use anyhow::{Context, Result};
+use caller::api::{Call, Create};
+use caller::client::Client;
+use catkinshed::daemon::Daemon;
+use catkinshed::settings::{Limits, Settings};
+use compact_str::{CompactString, format_compact};
+use sched::call::Work;
+use sched::queue::Policy;
+use std::time::{Duration, Instant};
+use testing::cluster::{Cluster, Spec};
+use testing::engine;
+use testing::load::token;
+use tokio::runtime::{Builder, Runtime};
+
+const DAEMONS: usize = 5;
+const ENGINES: usize = 10;
+const SLOWDOWN: f64 = 5.0;
+/// Time into the crest at which a daemon is lost.
+const LOSS: Duration = Duration::from_secs(2);
+/// Bytes of one prompt token.
+const TOKEN_TEXT: &str = "abc ";
+
+fn spec(policy: Policy) -> Spec {
+    Spec {
+        engines: ENGINES,
+        services: 0,
+        policy,
+        logs: 10,
+        engine: engine::Spec {
+            slots: 8,
+            memory: 4_096,
+            step: Duration::from_millis(8),
+            doubling: 8,
+            prefill: Duration::from_micros(150),
+            fences: false,
+        },
+        limits: Limits { lease_ttl_ms: 2_000, ..Limits::default() },
+        ..Spec::default()
+    }
+}
+
+/// A daemon with a runtime of its own, so that its loss takes all its tasks and sockets along.
+struct Hosted {
+    runtime: Runtime,
+    daemon: Daemon,
+}
+
+impl Hosted {
+    async fn start(settings: Settings) -> Result<Self> {
+        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+        let daemon = runtime.spawn(Daemon::start(settings)).await??;
+        daemon.ready().await;
+        Ok(Self { runtime, daemon })
+    }
+
+    fn crash(self) {
+        self.daemon.crash();
+        self.runtime.shutdown_background();
+    }
+
+    async fn stop(self) -> Result<()> {
+        let stopped = self.runtime.spawn(self.daemon.stop()).await?;
+        self.runtime.shutdown_background();
+        stopped
+    }
+}
+
+/// Runs a policy on the arrivals of a seed.
+pub async fn run(policy: Policy, scenario: Scenario, seed: u64) -> Result<Run> {
+    let cluster = Cluster::start(spec(policy)).await;
+    let mut daemons = Vec::new();
+    let mut addrs = Vec::new();
+    for number in 0..DAEMONS {
+        let settings = cluster.settings(number);
+        addrs.push(format_compact!("{}", settings.http_addr));
+        daemons.push(Hosted::start(settings).await?);
+    }
+    warm_up(&addrs).await?;
+    if scenario == Scenario::Slowed {
+        cluster.faults.endpoint("engine-3", |faults| faults.slowdown = SLOWDOWN);
+    }
+    let started = Instant::now();
+    let programs = arrivals::draw(seed).into_iter().enumerate().map(|(number, program)| {
+        let addrs = addrs.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep_until((started + program.at).into()).await;
+            one_program(&addrs, number, &program).await
+        })
+    });
+    let programs: Vec<_> = programs.collect();
+    if scenario == Scenario::Swing {
+        tokio::time::sleep_until((started + BEFORE + LOSS).into()).await;
+        if let Some(lost) = daemons.pop() {
+            lost.crash();
+        }
+    }
+    let mut samples = Vec::new();
+    for program in programs {
+        samples.push(program.await.context("a program's task")?);
+    }
+    cluster.engines.iter().for_each(engine::Engine::settle);
+    let tally = cluster.tally.lock().expect("the tally").clone();
+    for daemon in daemons {
+        daemon.stop().await?;
+    }
+    Ok(Run::new(policy, scenario, seed, samples, &tally))
+}
+
+/// Waits until programs can be created at every daemon's logs.
+async fn warm_up(addrs: &[CompactString]) -> Result<()> {
+    for (number, _) in addrs.iter().enumerate() {
+        let mut client = Client::new(addrs, token(0), number);
+        let program = client.create(&creation(0, "warm-up", format_compact!("w{number}"))).await?;
+        client.cancel(&program).await?;
+    }
+    Ok(())
+}
+
+fn creation(team: usize, kind: &str, key: CompactString) -> Create {
+    Create {
+        pool: "models".into(),
+        account: ["crew-tokens", "vans-tokens"][team].into(),
+        budget: 20_000,
+        kind: kind.into(),
+        key: Some(key),
+        ..Create::default()
+    }
+}
+
+async fn one_program(addrs: &[CompactString], number: usize, program: &Program) -> Sample {
+    let mut client = Client::new(addrs, token(program.team), number);
+    let mut sample = Sample::new(program);
+    let began = Instant::now();
+    let key = format_compact!("p{number}");
+    let Ok(id) = client.create(&creation(program.team, program.kind.name(), key)).await else {
+        return sample;
+    };
+    let mut receipts = Vec::new();
+    for (index, turn) in program.turns.iter().enumerate() {
+        let text = if index == 0 { TOKEN_TEXT.repeat(program.prompt) } else { String::new() };
+        let call = Call {
+            call: format_compact!("c{index}"),
+            seq: index as u32 + 1,
+            work: Work::Model {
+                prompt: format!("{text}[[len={}]]", turn.length),
+                max_tokens: turn.asked,
+            },
+            within_ms: Some(120_000),
+            receipts: std::mem::take(&mut receipts),
+        };
+        // The next turn goes through another entry VM, as behind a balancer.
+        let mut client = Client::new(addrs, token(program.team), number + index);
+        match client.call(&id, &call).await {
+            Ok(answer) => {
+                receipts.extend(answer.end.receipt.clone());
+                sample.add_turn(&answer);
+            }
+            Err(_) => return sample,
+        }
+        tokio::time::sleep(turn.pause).await;
+    }
+    sample.finish(began.elapsed());
+    // A program that is not finished here ends by its idle timeout.
+    let _ = client.finish(&id).await;
+    sample
+}
--- a/crates/catkinshed/src/control/calls.rs
+++ b/crates/catkinshed/src/control/calls.rs
@@ -80,9 +80,10 @@
             metrics::histogram!("first_token_seconds").record(wait.as_secs_f64());
         }
         let timed = progress.tokens - u64::from(progress.first);
+        let time = progress.gap * u32::try_from(timed).unwrap_or(u32::MAX);
         let endpoint = running.endpoint.clone();
         let pool = live.pool.clone();
-        self.paces.entry(pool).or_default().observe(&endpoint, timed, progress.time, now);
+        self.paces.entry(pool).or_default().observe(&endpoint, timed, time, now);
     }
 
     /// Takes the end of an order to an engine.
--- a/crates/catkinshed/src/daemon.rs
+++ b/crates/catkinshed/src/daemon.rs
@@ -167,6 +167,15 @@
         Ok(())
     }
 
+    /// Ends all work at once and hands nothing off, as the loss of the VM would.
+    pub fn crash(self) {
+        self.events.send(Event::Quit);
+        self.server.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+
     /// Deletes the member key, so that a successor on this VM need not wait for the lease to lapse.
     async fn leave(&self) {
         let key = crate::traffic::keys::member(&self.me.vm);
--- a/crates/catkinshed/src/entry.rs
+++ b/crates/catkinshed/src/entry.rs
@@ -20,6 +20,9 @@
 /// Longest time for a peer to take a request.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Length of a try from which the wait for an owner begins anew after it.
+const LASTING_TRY: Duration = Duration::from_secs(1);
+
 /// Router of one daemon.
 #[derive(Clone)]
 pub struct Entry {
@@ -87,13 +90,16 @@
         };
         let mut backoff = Backoff::new(Duration::from_millis(5), Duration::from_millis(200));
         while !self.sender.is_closed() {
+            let tried = Instant::now();
             if let Some(owner) = self.entry.routes.owner(log) {
                 match self.attempt(log, &owner).await {
                     Try::Finished | Try::Gone => return,
                     Try::NotTaken => {}
                     Try::Broken => {
                         self.maybe_begun = true;
-                        self.waiting_since = Instant::now();
+                        if tried.elapsed() >= LASTING_TRY {
+                            self.waiting_since = Instant::now();
+                        }
                     }
                 }
             }
--- a/crates/catkinshed/src/traffic/model.rs
+++ b/crates/catkinshed/src/traffic/model.rs
@@ -38,8 +38,8 @@
 pub struct Progress {
     /// Tokens received.
     pub tokens: Tokens,
-    /// Time that they took; the first token's wait is left out.
-    pub time: Duration,
+    /// Median time between two of them; a stall of one stream does not show in it.
+    pub gap: Duration,
     /// Whether the first token is among them.
     pub first: bool,
     /// Prompt tokens that the engine's cache did not hold, told with the first token.
@@ -95,6 +95,7 @@
     ) -> Result<End, Fault> {
         let mut stream = pin!(stream);
         let mut progress = Progress::default();
+        let mut gaps = Vec::new();
         let mut last = Instant::now();
         let mut told = last;
         loop {
@@ -106,7 +107,7 @@
             let event = event.ok_or_else(|| Fault::sent("the stream ended early"))?;
             let event = event.map_err(|error| Fault::sent(&error.to_string()))?;
             if let Some(finish) = &event.finish {
-                self.report(&mut progress);
+                self.report(&mut progress, &mut gaps);
                 return Ok(if finish == "length" { End::Length } else { End::Stopped });
             }
             self.follow_run(&event);
@@ -115,10 +116,13 @@
             }
             self.tape.push(&event.text);
             let now = Instant::now();
-            count(&mut progress, &event, &self.order, now - last);
+            count(&mut progress, &event, &self.order);
+            if event.cached.is_none() {
+                gaps.push(now - last);
+            }
             last = now;
             if progress.first || now - told >= PROGRESS_INTERVAL {
-                self.report(&mut progress);
+                self.report(&mut progress, &mut gaps);
                 told = now;
             }
         }
@@ -132,8 +136,9 @@
         self.tape.begin(event.run);
     }
 
-    fn report(&self, progress: &mut Progress) {
-        let progress = std::mem::take(progress);
+    fn report(&self, progress: &mut Progress, gaps: &mut Vec<Duration>) {
+        let progress = Progress { gap: median(gaps), ..std::mem::take(progress) };
+        gaps.clear();
         if progress.tokens > 0 {
             self.events.send(Event::Progress { key: self.key.clone(), progress });
         }
@@ -173,14 +178,16 @@
     }
 }
 
-fn count(progress: &mut Progress, event: &engine::Event, order: &Order, took: Duration) {
+fn count(progress: &mut Progress, event: &engine::Event, order: &Order) {
     progress.tokens += 1;
-    match event.cached {
-        Some(cached) => {
-            progress.first = true;
-            let prompt = sched::call::prompt_tokens(&order.prompt);
-            progress.recomputed = prompt.saturating_sub(cached);
-        }
-        None => progress.time += took,
+    if let Some(cached) = event.cached {
+        progress.first = true;
+        let prompt = sched::call::prompt_tokens(&order.prompt);
+        progress.recomputed = prompt.saturating_sub(cached);
     }
 }
+
+fn median(gaps: &mut [Duration]) -> Duration {
+    gaps.sort();
+    gaps.get(gaps.len() / 2).copied().unwrap_or_default()
+}
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -132,7 +132,6 @@
 
 /// Why a program is not running.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "cause")]
 pub enum Wait {
     /// A call runs at an endpoint.
     Running {
