Pin no engine memory while calls wait

Cause: at the crest, plans spent 5.1 s of 20.4 s between their order and the first token. Pins of paused programs filled up to 60 in 100 of an engine's memory, so orders waited inside the engine.

Change: while calls wait in the pool's queue, orders leave the prefix to the engine's own cache. The load's part of an endpoint's cost grows with the expected tokens, and a missing prefix costs more.

--- a/crates/catkinshed/examples/crest/report.rs
+++ b/crates/catkinshed/examples/crest/report.rs
@@ -27,6 +27,9 @@
     latency: Option<Duration>,
     first: Vec<Duration>,
     repeated: u32,
+    queued: Duration,
+    started: Duration,
+    decoded: Duration,
 }
 
 impl Sample {
@@ -40,6 +43,9 @@
             latency: None,
             first: Vec::new(),
             repeated: 0,
+            queued: Duration::ZERO,
+            started: Duration::ZERO,
+            decoded: Duration::ZERO,
         }
     }
 
@@ -47,6 +53,10 @@
     pub fn add_turn(&mut self, answer: &Answer) {
         self.first.push(answer.first);
         self.repeated += answer.resumed;
+        let queued = Duration::from_secs_f64(answer.end.queued_ms / 1e3).min(answer.first);
+        self.queued += queued;
+        self.started += answer.first - queued;
+        self.decoded += answer.total - answer.first;
     }
 
     /// Ends the sample.
@@ -93,6 +103,9 @@
     pub recomputed: u64,
     /// Jain's index of the teams' mean slowdown; 1 is even.
     pub fairness: f64,
+    /// Where a plan's time went: mean wait in daemons' queues, from the order to the first token,
+    /// and from there to the last.
+    pub plan: [f64; 3],
     /// All latencies, sorted.
     pub latencies: Vec<f64>,
 }
@@ -126,6 +139,8 @@
             held_unused: tally.held_unused,
             recomputed: tally.recomputed,
             fairness: fairness(&samples),
+            plan: [|s: &Sample| s.queued, |s: &Sample| s.started, |s: &Sample| s.decoded]
+                .map(|part| mean_of_plans(&samples, part)),
             latencies,
         }
     }
@@ -168,7 +183,7 @@
 /// Names a figure and reads it from a run.
 type Figure = (&'static str, fn(&Run) -> f64);
 
-const FIGURES: [Figure; 12] = [
+const FIGURES: [Figure; 15] = [
     ("latency p50 ms", |run| run.latency[0]),
     ("latency p95 ms", |run| run.latency[1]),
     ("latency p99 ms", |run| run.latency[2]),
@@ -179,6 +194,9 @@
     ("short wait p99 ms", |run| run.short_wait[1]),
     ("held unused token-s", |run| run.held_unused),
     ("recomputed tokens", |run| run.recomputed as f64),
+    ("plan queued ms", |run| run.plan[0]),
+    ("plan to first ms", |run| run.plan[1]),
+    ("plan decoding ms", |run| run.plan[2]),
     ("failed", |run| run.failed as f64),
     ("fairness", |run| run.fairness),
 ];
@@ -243,6 +261,12 @@
     sorted.get(index.min(sorted.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
 }
 
+fn mean_of_plans(samples: &[Sample], part: fn(&Sample) -> Duration) -> f64 {
+    let plans = samples.iter().filter(|sample| sample.kind == Kind::Plan);
+    let times: Vec<f64> = plans.map(|sample| part(sample).as_secs_f64() * 1e3).collect();
+    times.iter().sum::<f64>() / times.len().max(1) as f64
+}
+
 fn fairness(samples: &[Sample]) -> f64 {
     let means: Vec<f64> = (0..2)
         .map(|team| {
--- a/crates/catkinshed/src/control/pins.rs
+++ b/crates/catkinshed/src/control/pins.rs
@@ -35,13 +35,18 @@
         let others: Vec<EndpointId> =
             found.pins.iter().filter(|pin| **pin != endpoint).cloned().collect();
         let pinned = found.pins.contains(&endpoint);
+        let pressed = self.queues.get(&live.pool).is_some_and(|queue| !queue.is_empty());
         for other in others {
             self.release(key.log, &key.program, &other);
         }
-        if !pinned {
-            self.record(key.log, Record::Pin { program: key.program.clone(), endpoint });
-        }
-        Some(key.program.clone())
+        let program = key.program.clone();
+        match (pressed, pinned) {
+            // An order without a pin leaves the prefix to the engine's own cache.
+            (true, true) => self.record(key.log, Record::Unpin { program, endpoint }),
+            (false, false) => self.record(key.log, Record::Pin { program, endpoint }),
+            (true, false) | (false, true) => true,
+        };
+        (!pressed).then(|| key.program.clone())
     }
 
     /// Releases all pins of a program.
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -18,9 +18,9 @@
 /// Cost of a call to another data centre.
 const REMOTE_COST: Duration = Duration::from_millis(3);
 /// Cost of each prompt token that the endpoint has no cache for.
-const PREFILL_COST_PER_TOKEN: Duration = Duration::from_micros(50);
-/// Cost of an endpoint whose slots are all taken, relative to an empty one.
-const FULL_COST: Duration = Duration::from_millis(400);
+const PREFILL_COST_PER_TOKEN: Duration = Duration::from_micros(150);
+/// Cost of each expected token at an endpoint whose slots are all taken, relative to an empty one.
+const FULL_COST_PER_TOKEN: Duration = Duration::from_millis(5);
 /// Slowdown from which an endpoint gets one call at a time, as a probe.
 const SLOW_FACTOR: f64 = 2.5;
 /// Samples beside the endpoint with the cache.
@@ -72,7 +72,8 @@
     fn cost(&self, need: &Need<'_>, cached: bool) -> Duration {
         let remote = if self.dc == *need.dc { Duration::ZERO } else { REMOTE_COST };
         let prefill = if cached { 0 } else { need.prompt };
-        let load = FULL_COST.mul_f64(f64::from(self.calls()) / f64::from(self.slots.max(1)));
+        let full = FULL_COST_PER_TOKEN * u32::try_from(need.expected).unwrap_or(u32::MAX);
+        let load = full.mul_f64(f64::from(self.calls()) / f64::from(self.slots.max(1)));
         let prefill = PREFILL_COST_PER_TOKEN * u32::try_from(prefill).unwrap_or(u32::MAX);
         (remote + prefill + load).mul_f64(self.slowdown.max(1.0))
     }
