Assign logs only when the members change, and measure the path's costs

Cause: every tick, each daemon computed the assignment of all logs to all members and copied the routing table; at 560 members that is 1,120 times 560 hashes fifty times a second.

Change: the assignment is kept and computed anew when the list of members changes; the table is read when it changes, and otherwise five times a second.

--- /dev/null
+++ b/crates/catkinshed/examples/path.rs
@@ -0,0 +1,367 @@
+//! Costs of the path and of the control state, for docs/MEASUREMENTS.md and docs/CAPACITY.md.
+//!
+//! `cargo run --release --example path` prints added latency against a direct call to the same
+//! stand-in, key-value writes against requests, takeover time, memory per program, and the control
+//! thread's time. Speeds are ratios against a baseline of the same run where one exists.
+
+use anyhow::Result;
+use caller::api::Create;
+use caller::client::Client;
+use catkinshed::control::event::Events;
+use catkinshed::daemon::Daemon;
+use catkinshed::routes::Member;
+use catkinshed::traffic::{adopt, segment};
+use compact_str::{CompactString, format_compact};
+use endpoint::engine::{self, Order};
+use futures::StreamExt;
+use sched::call::{Call, Outcome, Stop, Work};
+use sched::log::State;
+use sched::record::{Record, Spec};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use testing::cluster::{self, CREW_TOKEN, Cluster};
+use testing::program::model;
+
+const CALLS: usize = 300;
+const HISTORY_TURNS: u32 = 6;
+const HISTORY_TEXT: &str = "the east fields need two crews and a truck at half past four ";
+const WORDS: &str = "field crew truck dawn gate east west far near cane cutter ton hour shift rain road \
+                     plan loan book van stop route school week renew reserve fine return reader town";
+const PROMPT_WORDS: usize = 40;
+const ANSWER_WORDS: usize = 90;
+const IDLE: Duration = Duration::from_secs(6);
+
+struct Hosts {
+    cluster: Cluster,
+    daemons: Vec<Daemon>,
+    addrs: Vec<CompactString>,
+}
+
+impl Hosts {
+    async fn start(daemons: usize, engines: usize) -> Result<Self> {
+        let fast = engine_spec();
+        let spec = cluster::Spec { engines, engine: fast, ..cluster::Spec::default() };
+        let cluster = Cluster::start(spec).await;
+        let mut hosts = Self { cluster, daemons: Vec::new(), addrs: Vec::new() };
+        for number in 0..daemons {
+            let settings = hosts.cluster.settings(number);
+            hosts.addrs.push(format_compact!("{}", settings.http_addr));
+            hosts.daemons.push(Daemon::start(settings).await?);
+        }
+        for daemon in &hosts.daemons {
+            daemon.ready().await;
+        }
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        Ok(hosts)
+    }
+
+    async fn create(&self, at: usize, key: &str) -> Result<CompactString> {
+        let mut client = Client::new(&self.addrs[at..=at], CREW_TOKEN, 0);
+        let create = Create {
+            pool: "models".into(),
+            account: "crew-tokens".into(),
+            budget: 100_000,
+            kind: "measure".into(),
+            key: (!key.is_empty()).then(|| key.into()),
+            ..Create::default()
+        };
+        Ok(client.create(&create).await?)
+    }
+
+    async fn stop(self) -> Result<()> {
+        for daemon in self.daemons {
+            daemon.stop().await?;
+        }
+        Ok(())
+    }
+}
+
+fn engine_spec() -> testing::engine::Spec {
+    testing::engine::Spec {
+        step: Duration::from_millis(1),
+        slots: 64,
+        doubling: 1_000,
+        memory: 1 << 20,
+        ..testing::engine::Spec::default()
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
+    added_latency().await?;
+    writes_by_rate().await?;
+    takeover_time().await?;
+    memory_per_program()?;
+    control_time().await
+}
+
+/// Compares whole calls of one token: direct, at the owner, and forwarded.
+async fn added_latency() -> Result<()> {
+    let hosts = Hosts::start(2, 1).await?;
+    let direct = direct_calls(&hosts.cluster).await?;
+    let owner = hosts.create(0, "").await?;
+    let local = calls_through(&hosts, &owner, 0).await?;
+    let forwarded_program = hosts.create(0, "").await?;
+    let forwarded = calls_through(&hosts, &forwarded_program, 1).await?;
+    println!("## added latency, {CALLS} calls of one token, ms");
+    println!("| path | p50 | p99 | added p50 | added p99 |\n|---|---|---|---|---|");
+    for (name, times) in [("direct", &direct), ("owner", &local), ("forwarded", &forwarded)] {
+        let (p50, p99) = (quantile(times, 0.5), quantile(times, 0.99));
+        let added = (p50 - quantile(&direct, 0.5), p99 - quantile(&direct, 0.99));
+        println!("| {name} | {p50:.2} | {p99:.2} | {:.2} | {:.2} |", added.0, added.1);
+    }
+    hosts.stop().await
+}
+
+async fn direct_calls(cluster: &Cluster) -> Result<Vec<f64>> {
+    let addr = cluster.engines[0].server.addr.to_string();
+    let client = engine::Client::new(reqwest::Client::new(), &addr);
+    let mut times = Vec::new();
+    for number in 0..CALLS {
+        let order = Order {
+            request_id: format_compact!("0-0:direct{number}"),
+            prompt: "x [[len=1]]".to_owned(),
+            max_tokens: 1,
+            ..Order::default()
+        };
+        let started = Instant::now();
+        let events: Vec<_> = client.complete(&order).await?.collect().await;
+        times.push(millis(started.elapsed()));
+        anyhow::ensure!(!events.is_empty(), "the engine gave no event");
+    }
+    Ok(sorted(times))
+}
+
+async fn calls_through(hosts: &Hosts, program: &str, at: usize) -> Result<Vec<f64>> {
+    let mut client = Client::new(&hosts.addrs[at..=at], CREW_TOKEN, 0);
+    let mut times = Vec::new();
+    for seq in 1..=(CALLS.min(190) as u32) {
+        let started = Instant::now();
+        client.call(program, &model(seq, "x", 1, 1)).await?;
+        times.push(millis(started.elapsed()));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    Ok(sorted(times))
+}
+
+/// Counts key-value writes while requests come at a rate.
+async fn writes_by_rate() -> Result<()> {
+    println!("\n## key-value writes against requests, 3 daemons");
+    println!("| requests/s | writes/s | writes/request | KB/s written |\n|---|---|---|---|");
+    let hosts = Hosts::start(3, 2).await?;
+    for rate in [20, 80, 320] {
+        let counts = &hosts.cluster.kv.counts;
+        let before = (counts.writes.load(Ordering::Relaxed), counts.bytes.load(Ordering::Relaxed));
+        let started = Instant::now();
+        let done = offer(&hosts, rate, Duration::from_secs(4)).await?;
+        let seconds = started.elapsed().as_secs_f64();
+        let writes = (counts.writes.load(Ordering::Relaxed) - before.0) as f64;
+        let bytes = (counts.bytes.load(Ordering::Relaxed) - before.1) as f64;
+        println!(
+            "| {:.0} | {:.0} | {:.2} | {:.1} |",
+            done as f64 / seconds,
+            writes / seconds,
+            writes / done as f64,
+            bytes / seconds / 1e3
+        );
+    }
+    hosts.stop().await
+}
+
+async fn offer(hosts: &Hosts, rate: u32, time: Duration) -> Result<usize> {
+    let total = (f64::from(rate) * time.as_secs_f64()) as usize;
+    let per_program = 8;
+    let programs = total / per_program;
+    let started = Instant::now();
+    let tasks: Vec<_> = (0..programs)
+        .map(|number| {
+            let (addrs, at) =
+                (hosts.addrs.clone(), started + time.mul_f64(number as f64 / programs as f64));
+            let key = format_compact!("r{rate}-{number}");
+            tokio::spawn(async move {
+                tokio::time::sleep_until(at.into()).await;
+                run_program(&addrs, number, key, per_program as u32).await
+            })
+        })
+        .collect();
+    let mut done = 0;
+    for task in tasks {
+        done += task.await??;
+    }
+    Ok(done)
+}
+
+async fn run_program(
+    addrs: &[CompactString],
+    number: usize,
+    key: CompactString,
+    calls: u32,
+) -> Result<usize> {
+    let mut client = Client::new(addrs, CREW_TOKEN, number);
+    let create = Create {
+        pool: "models".into(),
+        account: "crew-tokens".into(),
+        budget: 10_000,
+        key: Some(key),
+        ..Create::default()
+    };
+    let program = client.create(&create).await?;
+    for seq in 1..=calls {
+        client.call(&program, &model(seq, HISTORY_TEXT, 4, 50)).await?;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    client.finish(&program).await?;
+    Ok(calls as usize)
+}
+
+/// Times the takeover of one log by the programs in it.
+async fn takeover_time() -> Result<()> {
+    println!("\n## takeover of one log, {HISTORY_TURNS} turns a program");
+    println!("| programs | segments' KB | takeover ms | us a program |\n|---|---|---|---|");
+    for programs in [100, 400, 1_600] {
+        let cluster =
+            Cluster::start(cluster::Spec { engines: 0, services: 0, ..cluster::Spec::default() })
+                .await;
+        let kv = cluster.kv_client();
+        let records = history(programs);
+        let mut bytes = 0;
+        for (number, part) in records.chunks(2_000).enumerate() {
+            let nonce = number as u64 + 1;
+            let value =
+                segment::pack(&segment::Segment { epoch: 1, nonce, records: part.to_vec() })?;
+            bytes += value.len();
+            let key = catkinshed::traffic::keys::segment(0, number as u64 + 1);
+            kv.create(&key, &value, None).await?;
+        }
+        let me = Member { vm: "measure".into(), incarnation: 1, ..Member::default() };
+        let lease = kv.grant(Duration::from_secs(30)).await?;
+        let (events, _receiver) = Events::channel();
+        let started = Instant::now();
+        let adopted = adopt::adopt(&kv, &events, 0, &me, lease).await?;
+        let took = started.elapsed();
+        anyhow::ensure!(adopted.state.programs.len() == programs as usize, "programs are missing");
+        println!(
+            "| {programs} | {:.0} | {:.1} | {:.1} |",
+            bytes as f64 / 1e3,
+            millis(took),
+            took.as_secs_f64() * 1e6 / programs as f64
+        );
+    }
+    Ok(())
+}
+
+fn words(rng: &mut fastrand::Rng, count: usize) -> String {
+    let known: Vec<&str> = WORDS.split_whitespace().collect();
+    let drawn = (0..count).map(|_| known[rng.usize(..known.len())]);
+    drawn.collect::<Vec<_>>().join(" ")
+}
+
+fn history(programs: u64) -> Vec<Record> {
+    let mut rng = fastrand::Rng::with_seed(programs);
+    let mut records = vec![Record::Takeover { epoch: 1, vm: "first".into() }];
+    for number in 1..=programs {
+        let program = sched::id::program(0, number);
+        let spec = Spec {
+            team: "crew".into(),
+            account: "crew-tokens".into(),
+            budget: 10_000,
+            ..Spec::default()
+        };
+        records.push(Record::Create { program: program.clone(), spec });
+        records.push(Record::Allow { program: program.clone(), allowance: 4_096 });
+        for seq in 1..=HISTORY_TURNS {
+            let id: CompactString = format_compact!("c{seq}");
+            let prompt = words(&mut rng, PROMPT_WORDS);
+            let text = words(&mut rng, ANSWER_WORDS);
+            let work = Work::Model { prompt, max_tokens: 500 };
+            let call = Call { id: id.clone(), seq, work };
+            records.push(Record::Intent { program: program.clone(), call });
+            let outcome = Outcome::Done { text, tokens: 100, stop: Stop::End, run: 1 };
+            records.push(Record::Outcome { program: program.clone(), call: id, outcome });
+        }
+    }
+    records
+}
+
+/// Measures the growth of this process by idle programs, and their packed size.
+fn memory_per_program() -> Result<()> {
+    println!("\n## memory of idle programs, {HISTORY_TURNS} turns of about 700 bytes");
+    println!("| programs | resident KB a program | packed bytes a program |\n|---|---|---|");
+    let mut kept = Vec::new();
+    for programs in [4_000, 8_000, 16_000] {
+        let records = history(programs);
+        let before = resident_bytes()?;
+        let mut state = State::new(0);
+        for record in &records {
+            state.apply(record)?;
+        }
+        let grown = resident_bytes()?.saturating_sub(before);
+        let packed = segment::pack(&state)?.len();
+        kept.push(state);
+        println!(
+            "| {programs} | {:.2} | {:.0} |",
+            grown as f64 / 1e3 / programs as f64,
+            packed as f64 / programs as f64
+        );
+    }
+    anyhow::ensure!(kept.len() == 3, "a state is missing");
+    Ok(())
+}
+
+fn resident_bytes() -> Result<u64> {
+    let statm = std::fs::read_to_string("/proc/self/statm")?;
+    let pages: u64 = statm.split(' ').nth(1).unwrap_or("0").parse()?;
+    Ok(pages * 4_096)
+}
+
+/// Measures the control threads' time by daemons, endpoints and idle programs.
+async fn control_time() -> Result<()> {
+    println!("\n## control thread without calls");
+    println!(
+        "| daemons | engines | programs a daemon | percent of a core each |\n|---|---|---|---|"
+    );
+    for (daemons, engines, programs) in
+        [(1, 4, 0), (3, 4, 0), (6, 4, 0), (3, 16, 0), (3, 48, 0), (3, 4, 300), (3, 4, 900)]
+    {
+        let hosts = Hosts::start(daemons, engines).await?;
+        for number in 0..programs * daemons {
+            hosts.create(number % daemons, "").await?;
+        }
+        let before = control_nanos()?;
+        tokio::time::sleep(IDLE).await;
+        let spent = control_nanos()? - before;
+        let percent = spent as f64 / IDLE.as_nanos() as f64 * 100.0 / daemons as f64;
+        println!("| {daemons} | {engines} | {programs} | {percent:.3} |");
+        hosts.stop().await?;
+    }
+    Ok(())
+}
+
+/// Time on a core of all threads named `control`.
+fn control_nanos() -> Result<u64> {
+    let mut total = 0;
+    for task in std::fs::read_dir("/proc/self/task")? {
+        let path = task?.path();
+        let name = std::fs::read_to_string(path.join("comm")).unwrap_or_default();
+        if name.trim() == "control" {
+            let stat = std::fs::read_to_string(path.join("schedstat")).unwrap_or_default();
+            total += stat.split(' ').next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        }
+    }
+    Ok(total)
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+fn sorted(mut times: Vec<f64>) -> Vec<f64> {
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+fn quantile(sorted: &[f64], part: f64) -> f64 {
+    let index = (sorted.len() as f64 * part) as usize;
+    sorted.get(index.min(sorted.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
+}
--- a/crates/catkinshed/src/control/mod.rs
+++ b/crates/catkinshed/src/control/mod.rs
@@ -11,6 +11,7 @@
 //! * [`dispatch`] sends waiting calls to endpoints;
 //! * [`pacer`] spreads commits over time;
 //! * [`commits`] makes log entries durable and does what waited for that;
+//! * [`assignment`] tells which logs belong here;
 //! * [`ownership`] takes logs over and hands them off;
 //! * [`pools`] keeps the view of the endpoints;
 //! * [`pins`] releases engine memory;
@@ -18,6 +19,7 @@
 //! * [`rows`] answers the operators.
 
 pub mod asks;
+pub mod assignment;
 pub mod calls;
 pub mod commits;
 pub mod dispatch;
@@ -33,8 +35,9 @@
 pub mod rows;
 
 use crate::entry::Entry;
-use crate::routes::{Member, Routes};
+use crate::routes::{Member, Routes, Table};
 use crate::settings::{Injected, Settings, millis};
+use assignment::Assignment;
 use event::{Event, Events, Outbox};
 use indexmap::{IndexMap, IndexSet};
 use live::Live;
@@ -133,6 +136,9 @@
     team_calls: IndexMap<TeamId, u32>,
     reports: IndexMap<VmId, (Report, Instant)>,
     pacer: Pacer,
+    routes: watch::Receiver<Table>,
+    assignment: Assignment,
+    last_balance: Instant,
     endings: IndexMap<ProgramId, (Ending, Vec<Outbox>)>,
     attempts: u64,
     stopping: Option<oneshot::Sender<()>>,
@@ -144,6 +150,7 @@
 impl Control {
     /// Prepares the control state at `now`.
     pub fn new(shared: Shared, ready: watch::Sender<Ready>, now: Instant) -> Self {
+        let shared_routes = shared.routes.subscribe();
         let interval = millis(shared.settings.limits.commit_interval_ms);
         Self {
             shared,
@@ -168,6 +175,9 @@
             team_calls: IndexMap::new(),
             reports: IndexMap::new(),
             pacer: Pacer::new(interval, now),
+            routes: shared_routes,
+            assignment: Assignment::default(),
+            last_balance: now,
             endings: IndexMap::new(),
             attempts: 0,
             stopping: None,
--- a/crates/catkinshed/src/control/ownership.rs
+++ b/crates/catkinshed/src/control/ownership.rs
@@ -18,14 +18,15 @@
 use peer::wire::{Ask, Asker, Reply};
 use platform::kv::{Client, Error, LeaseId, Revision};
 use sched::call::{Outcome, Work};
-use sched::id::{LogId, ProgramId, VmId};
-use sched::members;
+use sched::id::{LogId, ProgramId};
 use sched::record::Record;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Time that a hand-off leaves to running model orders before the next owner resumes them.
 const HANDOFF_WAIT: Duration = Duration::from_millis(500);
+/// Longest time between two looks at the assignment while nothing changes.
+const BALANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two changes of a log's owner for balance alone.
 const SETTLE_BEFORE_MOVE: Duration = Duration::from_secs(2);
 
@@ -35,27 +36,23 @@
         if !self.config_read || self.lease.is_none() || self.stopping.is_some() {
             return;
         }
-        self.reclaim();
-        let table = self.shared.routes.table();
-        let mut members: Vec<VmId> = table
-            .members
-            .values()
-            .filter(|member| !member.stopping)
-            .map(|m| m.vm.clone())
-            .collect();
-        members.sort();
-        if !members.contains(&self.shared.me.vm) {
+        let changed = self.routes.has_changed().unwrap_or(false);
+        if !changed && since(now, self.last_balance) < BALANCE_INTERVAL {
             return;
         }
-        let logs: Vec<LogId> = (0..self.shared.settings.logs).collect();
-        let assigned = members::assign(&logs, &members);
-        for (log, member) in logs.into_iter().zip(assigned) {
-            let mine = members[member] == self.shared.me.vm;
+        self.last_balance = now;
+        self.reclaim();
+        let table = self.routes.borrow_and_update().clone();
+        self.assignment.update(&table, &self.shared.me.vm, self.shared.settings.logs);
+        for log in self.assignment.mine() {
             let owner = table.owners.get(&log);
-            if mine && owner.is_none_or(|owner| *owner == self.shared.me) {
+            if owner.is_none_or(|owner| *owner == self.shared.me) {
                 self.take_over(log);
             }
-            if !mine {
+        }
+        let owned: Vec<LogId> = self.logs.keys().copied().collect();
+        for log in owned {
+            if self.assignment.is_anothers(log) {
                 self.begin_handoff(log, SETTLE_BEFORE_MOVE, now);
             }
         }
--- a/crates/catkinshed/src/routes.rs
+++ b/crates/catkinshed/src/routes.rs
@@ -57,6 +57,11 @@
         self.sender.borrow().owners.get(&log).cloned()
     }
 
+    /// Returns a receiver that tells of changes.
+    pub fn subscribe(&self) -> watch::Receiver<Table> {
+        self.sender.subscribe()
+    }
+
     /// Returns a copy of the table.
     pub fn table(&self) -> Table {
         self.sender.borrow().clone()
