Answer at once what an outage keeps from becoming durable

Cause: a program's creation, or a call that must run at most once, that met the first moment of an outage got no answer until the key-value service returned.

Change: when a commit has been under way for longer than 'receipt_after_ms' and the service is out of reach, operations are told that their fate is not known yet, and calls whose order has not left are refused as not run, each with a time to come back. Lease times must be whole seconds, since the platform's are, and a fraction made an owner trust its lease for too long.

The operations' module is split by what it decides; the empty package for the weight store is gone.

--- a/crates/catkinshed/examples/crest/main.rs
+++ b/crates/catkinshed/examples/crest/main.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release --example crest -- --seed N` runs each policy on the same arrivals: a
 //! swing of tenfold in seconds, heavy-tailed lengths with stragglers, and one daemon lost at the
-//! crest; then the same with one engine in ten slowed fivefold. It prints a table and, where asked,
+//! crest; then the same without a loss, and with one engine in ten slowed fivefold. It prints a table and, where asked,
 //! writes JSON and a plot.
 
 mod arrivals;
@@ -28,7 +28,7 @@
         no_short
     )]
     policy: String,
-    #[options(help = "scenarios, with commas between", default = "swing,slowed", no_short)]
+    #[options(help = "scenarios, with commas between", default = "swing,calm,slowed", no_short)]
     scenario: String,
     #[options(help = "write the figures as JSON", meta = "FILE", no_short)]
     json: Option<PathBuf>,
@@ -83,8 +83,9 @@
 
 fn scenario(word: &str) -> Result<Scenario> {
     match word {
+        "calm" => Ok(Scenario::Calm),
         "swing" => Ok(Scenario::Swing),
         "slowed" => Ok(Scenario::Slowed),
-        _ => bail!("no scenario '{word}'; there are swing and slowed"),
+        _ => bail!("no scenario '{word}'; there are calm, swing and slowed"),
     }
 }
--- a/crates/catkinshed/examples/crest/report.rs
+++ b/crates/catkinshed/examples/crest/report.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Scenario {
+    /// A swing of demand alone.
+    Calm,
     /// A swing of demand, with one daemon lost at the crest.
     Swing,
     /// A swing of demand, with one engine in ten slowed.
@@ -205,7 +207,7 @@
     /// Shows the median of each figure over the seeds, with its spread.
     pub fn table(&self) -> String {
         let mut text = String::new();
-        for scenario in [Scenario::Swing, Scenario::Slowed] {
+        for scenario in [Scenario::Swing, Scenario::Calm, Scenario::Slowed] {
             let policies: Vec<Policy> = [Policy::Program, Policy::Fcfs, Policy::RoundRobin]
                 .into_iter()
                 .filter(|policy| !self.of(scenario, *policy).is_empty())
--- a/crates/catkinshed/src/control/asks.rs
+++ b/crates/catkinshed/src/control/asks.rs
@@ -4,11 +4,10 @@
 use super::live::{Live, Stage};
 use super::owned::After;
 use super::{Clock, Control};
-use crate::receipt::Receipt;
 use crate::settings::Injected;
 use crate::tape::Tape;
 use peer::wire::{Ask, Asker, Position, Reply};
-use sched::call::{Call, Outcome, Turn, Work};
+use sched::call::{Call, Outcome, Work};
 use sched::config::Pool;
 use sched::id::{CallId, LogId, PoolId, ProgramId};
 use sched::program::Program;
@@ -16,12 +15,8 @@
 use sched::refusal::{Code, Ran, Refusal};
 use std::time::{Duration, Instant};
 
-/// When a caller may repeat a request that met a full queue.
-const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 /// When a caller may repeat a request that needs the key-value service.
 const PLATFORM_RETRY: Duration = Duration::from_secs(2);
-/// Longest text of one model prompt, in bytes.
-const MAX_HISTORY_BYTES: usize = 2 << 20;
 
 impl Control {
     /// Answers an operation, or refuses it.
@@ -109,53 +104,6 @@
         Ok(())
     }
 
-    fn check_create(&self, log: LogId, spec: &Spec) -> Result<(), Refusal> {
-        if self.stopping.is_some() {
-            let refusal = Refusal::not_run(Code::Stopping, "this VM is stopping");
-            return Err(refusal.retry_after(OVERLOAD_RETRY));
-        }
-        if !self.platform_up {
-            return Err(platform_down("a program cannot be created"));
-        }
-        self.pool_config(&spec.pool)?;
-        let account = self.config.budgets.get(&spec.account);
-        let account = account.ok_or_else(|| not_found("budget", &spec.account))?;
-        if account.team != spec.team {
-            let message = format!("budget '{}' belongs to another team", spec.account);
-            return Err(Refusal::not_run(Code::WrongTeam, message));
-        }
-        self.check_team_limit(log, spec)?;
-        self.check_parent(log, spec)
-    }
-
-    fn check_team_limit(&self, log: LogId, spec: &Spec) -> Result<(), Refusal> {
-        let limit = self.config.teams.get(&spec.team).map_or(0, |team| team.max_programs);
-        let programs = self.logs.get(&log).map(|owned| owned.state.programs.values());
-        let live = programs
-            .into_iter()
-            .flatten()
-            .filter(|program| program.ending.is_none() && program.spec.team == spec.team);
-        if live.count() < limit as usize {
-            return Ok(());
-        }
-        let message = format!("team '{}' has {limit} programs under way already", spec.team);
-        Err(Refusal::not_run(Code::Overloaded, message).retry_after(OVERLOAD_RETRY))
-    }
-
-    fn check_parent(&self, log: LogId, spec: &Spec) -> Result<(), Refusal> {
-        let Some(parent) = &spec.parent else {
-            return Ok(());
-        };
-        let programs = self.logs.get(&log).map(|owned| &owned.state.programs);
-        let found = programs.and_then(|programs| programs.get(parent));
-        match found {
-            Some(found) if found.spec.team != spec.team => Err(wrong_team(parent)),
-            Some(found) if found.ending.is_some() => Err(ended(parent)),
-            Some(_) => Ok(()),
-            None => Err(no_program()),
-        }
-    }
-
     fn call(
         &mut self,
         asker: &Asker,
@@ -175,55 +123,6 @@
         self.begin(request, tape, now)
     }
 
-    fn take_restored(
-        &mut self,
-        log: LogId,
-        asker: &Asker,
-        program: &ProgramId,
-        receipts: &[String],
-        outbox: &Outbox,
-    ) -> Result<(), Refusal> {
-        self.program(log, asker, program)?;
-        self.restore(log, program, receipts)?;
-        let owned = self.owned(log)?;
-        owned.after(After::Reply { outbox: outbox.clone(), reply: Reply::Done });
-        Ok(())
-    }
-
-    /// Restores turns that an earlier owner answered with receipts.
-    fn restore(
-        &mut self,
-        log: LogId,
-        program: &ProgramId,
-        receipts: &[String],
-    ) -> Result<(), Refusal> {
-        let key = self.shared.settings.keys.cluster.clone();
-        for text in receipts {
-            let receipt = Receipt::open(text, key.as_bytes())
-                .map_err(|error| Refusal::not_run(Code::Malformed, error.to_string()))?;
-            if receipt.program != *program {
-                let message = "the receipt belongs to another program";
-                return Err(Refusal::not_run(Code::Malformed, message));
-            }
-            self.restore_turn(log, program, receipt.turn)?;
-        }
-        Ok(())
-    }
-
-    fn restore_turn(&mut self, log: LogId, program: &ProgramId, turn: Turn) -> Result<(), Refusal> {
-        let running = self.live.contains_key(program);
-        let owned = self.owned(log)?;
-        let Some(found) = owned.state.programs.get(program) else {
-            return Err(no_program());
-        };
-        let known = found.turn(&turn.call.id).is_some_and(|turn| turn.outcome != Outcome::Unknown);
-        if running || found.ending.is_some() || known {
-            return Ok(());
-        }
-        metrics::counter!("turns_restored_total").increment(1);
-        push(owned, Record::Restore { program: program.clone(), turn })
-    }
-
     /// Answers a call that is known already; returns whether it was.
     fn answer_known(&mut self, request: &Request, outbox: &Outbox) -> Result<bool, Refusal> {
         let id = &request.call.id;
@@ -260,77 +159,6 @@
         Ok(true)
     }
 
-    fn check_new(&mut self, request: &Request, now: Instant) -> Result<(), Refusal> {
-        let program = self.find(request.log, &request.program)?;
-        if program.ending.is_some() {
-            return Err(ended(&request.program));
-        }
-        let unfinished = program.open.as_ref().is_some_and(|open| open.call.id != request.call.id);
-        if unfinished || self.live.contains_key(&request.program) {
-            let message = "the program's previous call has not ended";
-            return Err(Refusal::not_run(Code::PreviousUnfinished, message));
-        }
-        if let Some(open) = &program.open {
-            check_same(&open.call, &request.call)?;
-        }
-        let expected = program.next_seq();
-        if request.call.seq != expected {
-            let message = format!("call {} came where {expected} is next", request.call.seq);
-            return Err(Refusal::not_run(Code::OutOfOrder, message));
-        }
-        let spec_pool = program.spec.pool.clone();
-        let steps = self.pool_config(&spec_pool)?.max_steps;
-        if request.call.seq > steps {
-            self.finish_program(request.log, &request.program, Ending::StepLimit, now);
-            let message = format!("the program reached its limit of {steps} calls");
-            return Err(Refusal::not_run(Code::ProgramEnded, message));
-        }
-        self.check_size(request)?;
-        self.check_admission(request, &spec_pool, now)
-    }
-
-    fn check_size(&self, request: &Request) -> Result<(), Refusal> {
-        let program = self.find(request.log, &request.program)?;
-        let history: usize = program.turns.iter().map(turn_size).sum();
-        if history + request.call.work.text().len() > MAX_HISTORY_BYTES {
-            let message = "the program's history would exceed 2 MiB; finish it and begin another";
-            return Err(Refusal::not_run(Code::TooLarge, message));
-        }
-        Ok(())
-    }
-
-    fn check_admission(
-        &self,
-        request: &Request,
-        spec_pool: &PoolId,
-        now: Instant,
-    ) -> Result<(), Refusal> {
-        let pool = call_pool(&request.call, spec_pool);
-        let config = self.pool_config(pool)?;
-        let waiting = self.queues.get(pool).map_or(0, |queue| queue.len());
-        if waiting >= config.max_queue as usize {
-            let message = format!("pool '{pool}' has {waiting} calls waiting");
-            return Err(Refusal::not_run(Code::Overloaded, message).retry_after(OVERLOAD_RETRY));
-        }
-        let open = self.pools.get(pool).is_some_and(|pool| pool.views.values().any(|v| v.open));
-        if !open {
-            let message = format!("pool '{pool}' has no endpoint that takes work");
-            return Err(Refusal::not_run(Code::NoEndpoint, message).retry_after(OVERLOAD_RETRY));
-        }
-        if !request.call.work.idempotent() && !self.platform_up {
-            return Err(platform_down("a call that must run at most once cannot start"));
-        }
-        let outage = now.saturating_duration_since(self.platform_seen);
-        if outage.as_millis() as u64 > self.limits().outage_limit_ms {
-            return Err(platform_down("the outage has outlasted its limit"));
-        }
-        let owned = self.logs.get(&request.log).map_or(0, |owned| owned.undurable_bytes());
-        if owned as u64 > self.limits().max_pending_bytes {
-            return Err(platform_down("too much is waiting to be made durable"));
-        }
-        Ok(())
-    }
-
     fn begin(&mut self, request: Request, tape: Tape, now: Instant) -> Result<(), Refusal> {
         let program = self.find(request.log, &request.program)?;
         let spec = program.spec.clone();
@@ -471,7 +299,12 @@
         owned.state.programs.get(program).ok_or_else(no_program)
     }
 
-    fn program(&self, log: LogId, asker: &Asker, program: &ProgramId) -> Result<&Program, Refusal> {
+    pub(super) fn program(
+        &self,
+        log: LogId,
+        asker: &Asker,
+        program: &ProgramId,
+    ) -> Result<&Program, Refusal> {
         let found = self.find(log, program)?;
         match asker {
             Asker::Team(team) if *team != found.spec.team => Err(wrong_team(program)),
@@ -479,7 +312,7 @@
         }
     }
 
-    fn pool_config(&self, pool: &PoolId) -> Result<&Pool, Refusal> {
+    pub(super) fn pool_config(&self, pool: &PoolId) -> Result<&Pool, Refusal> {
         self.config.pools.get(pool).ok_or_else(|| not_found("pool", pool))
     }
 }
@@ -493,21 +326,13 @@
     pub(super) position: Position,
 }
 
-fn call_pool<'a>(call: &'a Call, spec_pool: &'a PoolId) -> &'a PoolId {
+pub(super) fn call_pool<'a>(call: &'a Call, spec_pool: &'a PoolId) -> &'a PoolId {
     match &call.work {
         Work::Model { .. } => spec_pool,
         Work::Service { service, .. } => service,
     }
 }
 
-fn turn_size(turn: &Turn) -> usize {
-    let answer = match &turn.outcome {
-        Outcome::Done { text, .. } => text.len(),
-        _ => 0,
-    };
-    turn.call.work.text().len() + answer
-}
-
 /// Writes an ended answer to a tape as one token.
 fn replay(tape: &Tape, outcome: &Outcome) {
     if let Outcome::Done { text, run, tokens, .. } = outcome
@@ -535,11 +360,11 @@
     let _ = outbox.try_send(reply);
 }
 
-fn push(owned: &mut super::owned::Owned, record: Record) -> Result<(), Refusal> {
+pub(super) fn push(owned: &mut super::owned::Owned, record: Record) -> Result<(), Refusal> {
     owned.push(record).map_err(|fault| Refusal::not_run(Code::Internal, fault.to_string()))
 }
 
-fn check_same(known: &Call, asked: &Call) -> Result<(), Refusal> {
+pub(super) fn check_same(known: &Call, asked: &Call) -> Result<(), Refusal> {
     if known == asked {
         return Ok(());
     }
@@ -569,19 +394,19 @@
     )
 }
 
-fn no_program() -> Refusal {
+pub(super) fn no_program() -> Refusal {
     Refusal::not_run(Code::NotFound, "there is no such program")
 }
 
-fn not_found(what: &str, name: &str) -> Refusal {
+pub(super) fn not_found(what: &str, name: &str) -> Refusal {
     Refusal::not_run(Code::NotFound, format!("there is no {what} '{name}'"))
 }
 
-fn wrong_team(program: &str) -> Refusal {
+pub(super) fn wrong_team(program: &str) -> Refusal {
     Refusal::not_run(Code::WrongTeam, format!("program {program} belongs to another team"))
 }
 
-fn ended(program: &str) -> Refusal {
+pub(super) fn ended(program: &str) -> Refusal {
     Refusal::not_run(Code::ProgramEnded, format!("program {program} has ended"))
 }
 
--- a/crates/catkinshed/src/control/commits.rs
+++ b/crates/catkinshed/src/control/commits.rs
@@ -1,13 +1,16 @@
 //! Making log entries durable, and doing what waited for that.
 
 use super::Control;
+use super::asks::platform_down;
 use super::event::Event;
+use super::live::Stage;
 use super::owned::After;
 use crate::receipt::Receipt;
 use crate::settings::{Injected, millis};
 use crate::traffic::{commit, snapshot};
 use peer::wire::Reply;
 use sched::id::{CallId, Epoch, LogId, ProgramId};
+use sched::refusal::{Ran, Refusal};
 use std::time::{Duration, Instant};
 
 impl Control {
@@ -88,7 +91,7 @@
             After::Allowed { .. } => {}
             After::Proceed { program, call } => {
                 let waiting = self.live.get(&program).is_some_and(|live| {
-                    live.call.id == call && matches!(live.stage, super::live::Stage::Durable)
+                    live.call.id == call && matches!(live.stage, Stage::Durable)
                 });
                 if waiting {
                     self.fund(&program, now);
@@ -109,18 +112,52 @@
         }
     }
 
-    /// Gives receipts for answers whose turns have not become durable in time.
+    /// Answers what waits for a commit that has not ended in time.
+    ///
+    /// Answers of calls end with a receipt. While the key-value service is out of reach, other
+    /// operations are told that their fate is not known yet, and calls whose order has not left are
+    /// refused.
     pub(super) fn seal_stalled(&mut self, now: Instant) {
         let patience = millis(self.limits().receipt_after_ms);
         let key = self.shared.settings.keys.cluster.clone();
-        let lease_fresh = self.lease_fresh(now);
-        let platform_up = self.platform_up;
+        let healthy = self.platform_up && self.lease_fresh(now);
+        let patience = if healthy { 2 * patience } else { patience };
+        let mut stalled = Vec::new();
         for owned in self.logs.values_mut() {
-            let stalled = owned.stalled(now);
-            if stalled < patience || (lease_fresh && platform_up && stalled < 2 * patience) {
+            if owned.stalled(now) < patience {
                 continue;
             }
             seal_all(owned, key.as_bytes());
+            if !self.platform_up {
+                answer_operations(owned);
+                stalled.push(owned.log());
+            }
+        }
+        for log in stalled {
+            self.refuse_undurable(log, now);
+        }
+    }
+
+    fn refuse_undurable(&mut self, log: LogId, now: Instant) {
+        let waiting = self.live.iter().filter(|(_, live)| {
+            live.log == log && !live.sent && matches!(live.stage, Stage::Durable)
+        });
+        let waiting: Vec<ProgramId> = waiting.map(|(program, _)| program.clone()).collect();
+        for program in waiting {
+            let refusal = platform_down("the call cannot be made durable");
+            self.withdraw(&program, refusal, now);
+        }
+    }
+}
+
+/// Tells the askers of operations that their fate is not known yet.
+fn answer_operations(owned: &mut super::owned::Owned) {
+    for after in owned.waiting() {
+        if let After::Reply { outbox, .. } = after {
+            let refusal = platform_down("the operation may become durable later");
+            let refusal = Refusal { ran: Ran::Unknown, ..refusal };
+            // An asker that has its answer takes no further one.
+            let _ = outbox.try_send(Reply::Refused(refusal));
         }
     }
 }
--- a/crates/catkinshed/src/control/mod.rs
+++ b/crates/catkinshed/src/control/mod.rs
@@ -6,6 +6,8 @@
 //! they decide:
 //!
 //! * [`asks`] answers operations on programs;
+//! * [`admission`] decides whether a new program or call is taken;
+//! * [`restore`] takes turns of earlier owners from receipts;
 //! * [`calls`] moves a call from its arrival to its end;
 //! * [`funds`] sets tokens aside for calls;
 //! * [`dispatch`] sends waiting calls to endpoints;
@@ -18,6 +20,7 @@
 //! * [`limits`] ends what has run out of time;
 //! * [`rows`] answers the operators.
 
+pub mod admission;
 pub mod asks;
 pub mod assignment;
 pub mod calls;
@@ -32,6 +35,7 @@
 pub mod pacer;
 pub mod pins;
 pub mod pools;
+pub mod restore;
 pub mod rows;
 
 use crate::entry::Entry;
--- /dev/null
+++ b/crates/catkinshed/src/control/restore.rs
@@ -0,0 +1,64 @@
+//! Turns that an earlier owner answered and could not make durable.
+
+use super::Control;
+use super::asks::{no_program, push};
+use super::event::Outbox;
+use super::owned::After;
+use crate::receipt::Receipt;
+use peer::wire::{Asker, Reply};
+use sched::call::{Outcome, Turn};
+use sched::id::{LogId, ProgramId};
+use sched::record::Record;
+use sched::refusal::{Code, Refusal};
+
+impl Control {
+    /// Restores turns, and answers once they are durable.
+    pub(super) fn take_restored(
+        &mut self,
+        log: LogId,
+        asker: &Asker,
+        program: &ProgramId,
+        receipts: &[String],
+        outbox: &Outbox,
+    ) -> Result<(), Refusal> {
+        self.program(log, asker, program)?;
+        self.restore(log, program, receipts)?;
+        let owned = self.owned(log)?;
+        owned.after(After::Reply { outbox: outbox.clone(), reply: Reply::Done });
+        Ok(())
+    }
+
+    /// Restores turns that an earlier owner answered with receipts.
+    pub(super) fn restore(
+        &mut self,
+        log: LogId,
+        program: &ProgramId,
+        receipts: &[String],
+    ) -> Result<(), Refusal> {
+        let key = self.shared.settings.keys.cluster.clone();
+        for text in receipts {
+            let receipt = Receipt::open(text, key.as_bytes())
+                .map_err(|error| Refusal::not_run(Code::Malformed, error.to_string()))?;
+            if receipt.program != *program {
+                let message = "the receipt belongs to another program";
+                return Err(Refusal::not_run(Code::Malformed, message));
+            }
+            self.restore_turn(log, program, receipt.turn)?;
+        }
+        Ok(())
+    }
+
+    fn restore_turn(&mut self, log: LogId, program: &ProgramId, turn: Turn) -> Result<(), Refusal> {
+        let running = self.live.contains_key(program);
+        let owned = self.owned(log)?;
+        let Some(found) = owned.state.programs.get(program) else {
+            return Err(no_program());
+        };
+        let known = found.turn(&turn.call.id).is_some_and(|turn| turn.outcome != Outcome::Unknown);
+        if running || found.ending.is_some() || known {
+            return Ok(());
+        }
+        metrics::counter!("turns_restored_total").increment(1);
+        push(owned, Record::Restore { program: program.clone(), turn })
+    }
+}
--- a/crates/catkinshed/src/settings.rs
+++ b/crates/catkinshed/src/settings.rs
@@ -244,6 +244,11 @@
             (self.platform.kv.starts_with("http://"), "platform.kv", "must start with http://"),
             (self.platform.vms.starts_with("http://"), "platform.vms", "must start with http://"),
             (limits.lease_ttl_ms >= 1_000, "limits.lease_ttl_ms", "must be at least 1000"),
+            (
+                limits.lease_ttl_ms.is_multiple_of(1_000),
+                "limits.lease_ttl_ms",
+                "must be whole seconds, since the platform's leases are",
+            ),
             (limits.report_interval_ms > 0, "limits.report_interval_ms", "must not be 0"),
             (limits.vms_interval_ms > 0, "limits.vms_interval_ms", "must not be 0"),
             (limits.vms_interval_ms <= 1_000, "limits.vms_interval_ms", "must be at most 1000"),
--- a/crates/catkinshed/tests/failures.rs
+++ b/crates/catkinshed/tests/failures.rs
@@ -2,6 +2,7 @@
 //!
 //! Each case runs a seeded load while faults happen, and checks the recorded history.
 
+use catkinshed::settings::Limits;
 use platform::vms::State;
 use std::future::Future;
 use std::time::Duration;
@@ -49,9 +50,10 @@
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
 
-/// Names each case: its seed and the faults that happen during its load.
+/// Names each case: its seed, the cluster where it is not the usual one, and the faults that happen
+/// during its load.
 macro_rules! promises_hold_while {
-    ($($name:ident($seed:expr, $run:ident) $faults:block)*) => {
+    ($($name:ident($seed:expr, $run:ident $(, $spec:expr)?) $faults:block)*) => {
         $(
             #[tokio::test(flavor = "multi_thread")]
             async fn $name() {
@@ -61,7 +63,10 @@
                     $faults
                     $run
                 };
-                let evidence = run_with(stringify!($name), Spec::default(), load, faults).await;
+                #[allow(unused_mut, unused_assignments)]
+                let mut spec = Spec::default();
+                $(spec = $spec;)?
+                let evidence = run_with(stringify!($name), spec, load, faults).await;
                 keep_promises(&evidence);
             }
         )*
@@ -161,4 +166,41 @@
         assert_eq!(code, Some(0), "the daemon did not stop in order");
         run.restart(1).await;
     }
+
+    snapshots_are_written_while_owners_die(23, run, frequent_snapshots()) {
+        for number in 0..DAEMONS {
+            sleep(400).await;
+            run.daemons[number].kill();
+            sleep(600).await;
+            run.restart(number).await;
+        }
+    }
+
+    an_account_runs_out_while_a_daemon_dies(24, run, small_account()) {
+        sleep(300).await;
+        run.daemons[0].kill();
+        sleep(1500).await;
+        run.restart(0).await;
+    }
+
+    an_owner_is_paused_while_answers_are_lost(25, run) {
+        run.cluster.faults.set(|state| state.kv.lose_answer_every = 4);
+        sleep(300).await;
+        run.daemons[0].pause();
+        sleep(3000).await;
+        run.cluster.faults.set(|state| state.kv.lose_answer_every = 0);
+        run.daemons[0].resume();
+    }
+}
+
+/// A cluster whose logs are snapshotted and trimmed every few segments.
+fn frequent_snapshots() -> Spec {
+    let spec = Spec::default();
+    Spec { limits: Limits { snapshot_segments: 3, ..spec.limits.clone() }, ..spec }
+}
+
+/// A cluster whose accounts cover a part of the load, drawn in small chunks.
+fn small_account() -> Spec {
+    let spec = Spec { budget: 400, ..Spec::default() };
+    Spec { limits: Limits { grant_chunk: 64, allowance: 48, ..spec.limits.clone() }, ..spec }
 }
--- a/crates/store/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
