--- a/crates/catkinshed/src/control/dispatch.rs
+++ b/crates/catkinshed/src/control/dispatch.rs
@@ -11,7 +11,7 @@
 use sched::call::{Work, prompt_tokens};
 use sched::config::Kind;
 use sched::id::{EndpointId, PoolId, ProgramId, Tokens};
-use sched::place::{self, Need};
+use sched::place::Need;
 use sched::queue::{self, Facts, Item, Key, Policy};
 use sched::record::Record;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -32,14 +32,9 @@
         let rank = *live.rank.get_or_insert_with(|| queue::rank(policy, facts));
         let item = Item {
             program: program.clone(),
-            call: live.call.id.clone(),
-            team: live.team.clone(),
-            pool: live.pool.clone(),
             rank,
             reserve: reservation(policy, live),
             expected: live.expected,
-            since: now,
-            deadline: live.deadline,
         };
         let pool = live.pool.clone();
         let key = self.queues.entry(pool.clone()).or_default().push(item);
@@ -164,12 +159,10 @@
             return;
         };
         live.sent = true;
-        let long = place::is_long(live.expected);
         let mut running = Running {
             endpoint: endpoint.clone(),
             attempt,
             memory,
-            long,
             since: now,
             stop: None,
             cause: None,
@@ -184,7 +177,6 @@
         if let Some(view) = self.pools.get_mut(&live.pool).and_then(|p| p.views.get_mut(&endpoint))
         {
             view.own_calls += 1;
-            view.own_long += u32::from(long);
             view.own_memory += memory;
         }
         self.record(log, Record::Placed { program: program.clone(), endpoint });
@@ -261,7 +253,6 @@
             return;
         };
         view.own_calls = view.own_calls.saturating_sub(1);
-        view.own_long = view.own_long.saturating_sub(u32::from(running.long));
         view.own_memory = view.own_memory.saturating_sub(running.memory);
     }
 }
--- a/crates/catkinshed/src/control/live.rs
+++ b/crates/catkinshed/src/control/live.rs
@@ -29,8 +29,6 @@
     pub attempt: u64,
     /// Memory reserved there, in tokens.
     pub memory: Tokens,
-    /// Whether the call counts as long there.
-    pub long: bool,
     /// When the order left.
     pub since: Instant,
     /// Tells the task of a model order to stop.
--- a/crates/catkinshed/src/control/mod.rs
+++ b/crates/catkinshed/src/control/mod.rs
@@ -54,7 +54,7 @@
 use sched::health::Paces;
 use sched::id::{LogId, PoolId, ProgramId, TeamId, VmId};
 use sched::place;
-use sched::predict::Lengths;
+use sched::predict::Estimates;
 use sched::queue::Queue;
 use sched::record::Ending;
 use std::time::{Duration, Instant};
@@ -133,8 +133,8 @@
     pools: IndexMap<PoolId, place::Pool>,
     queues: IndexMap<PoolId, Queue>,
     paces: IndexMap<PoolId, Paces>,
-    lengths: Lengths,
-    pauses: Lengths,
+    lengths: Estimates,
+    pauses: Estimates,
     live: IndexMap<ProgramId, Live>,
     clocks: IndexMap<ProgramId, Clock>,
     team_calls: IndexMap<TeamId, u32>,
@@ -172,8 +172,8 @@
             pools: IndexMap::new(),
             queues: IndexMap::new(),
             paces: IndexMap::new(),
-            lengths: Lengths::default(),
-            pauses: Lengths::default(),
+            lengths: Estimates::default(),
+            pauses: Estimates::default(),
             live: IndexMap::new(),
             clocks: IndexMap::new(),
             team_calls: IndexMap::new(),
--- a/crates/catkinshed/src/control/pools.rs
+++ b/crates/catkinshed/src/control/pools.rs
@@ -122,8 +122,6 @@
     pub(super) fn send_report(&mut self, now: Instant) {
         let report = Report {
             vm: self.shared.me.vm.clone(),
-            dc: self.shared.me.dc.clone(),
-            version: self.config.version,
             shares: self.shares(),
             slow: self.own_slow(now),
         };
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -120,10 +120,6 @@
 pub struct Report {
     /// The sender.
     pub vm: VmId,
-    /// Its data centre.
-    pub dc: DcId,
-    /// Configuration version that it has applied.
-    pub version: Version,
     /// Its calls by endpoint; endpoints without calls are left out.
     pub shares: Vec<Share>,
     /// Endpoints that it found slow, with the factor.
--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -273,17 +273,6 @@
         }
     }
 
-    /// Ends a lease and deletes its keys.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] when the service is out of reach; the lease then lapses by itself.
-    pub async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
-        let body = json!({ "ID": lease.to_string() });
-        let _: Value = self.call("lease", "lease/revoke", &body).await?;
-        Ok(())
-    }
-
     /// Watches all keys that start with `prefix` from revision `from` on.
     ///
     /// Hands each batch of events and the revision after it to `each`, until the connection ends
--- a/crates/sched/benches/decisions.rs
+++ b/crates/sched/benches/decisions.rs
@@ -10,37 +10,25 @@
 use sched::queue::{Item, Policy, Queue};
 use sched::record::{Record, Spec};
 use std::hint::black_box;
-use std::time::{Duration, Instant};
 
 const SIZES: [u64; 3] = [100, 1_000, 10_000];
 
-fn item(rank: i64, now: Instant) -> Item {
-    Item {
-        program: id::program(1, rank as u64),
-        call: "c1".into(),
-        team: "crew".into(),
-        pool: "models".into(),
-        rank,
-        reserve: 64,
-        expected: 64,
-        since: now,
-        deadline: now + Duration::from_secs(60),
-    }
+fn item(rank: i64) -> Item {
+    Item { program: id::program(1, rank as u64), rank, reserve: 64, expected: 64 }
 }
 
 fn waiting_calls(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("queue_add_and_take");
-    let now = Instant::now();
     for size in SIZES {
         let mut queue = Queue::default();
         for rank in 0..size {
-            queue.push(item(rank as i64, now));
+            queue.push(item(rank as i64));
         }
         let mut rank = size as i64;
         group.bench_function(BenchmarkId::from_parameter(size), |bencher| {
             bencher.iter(|| {
                 rank += 1;
-                queue.push(item(rank, now));
+                queue.push(item(rank));
                 let first = queue.next_after(None).map(|(key, _)| key);
                 first.and_then(|key| queue.remove(&key))
             });
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use std::time::Duration;
 
-/// Part of the slots that long work may fill, in percent.
+/// Part of the slots, in percent, from which long work is not added.
 const LONG_SLOTS_PERCENT: u32 = 75;
 /// Expected tokens from which work counts as long.
 const LONG_TOKENS: Tokens = 256;
@@ -37,8 +37,6 @@
     pub memory: Tokens,
     /// Calls of this daemon.
     pub own_calls: u32,
-    /// Long calls of this daemon.
-    pub own_long: u32,
     /// Memory reserved by this daemon.
     pub own_memory: Tokens,
     /// Calls of the other daemons, as they last told.
@@ -105,7 +103,7 @@
 }
 
 /// Tells whether work of this expected length counts as long.
-pub fn is_long(expected: Tokens) -> bool {
+fn is_long(expected: Tokens) -> bool {
     expected >= LONG_TOKENS
 }
 
--- a/crates/sched/src/predict.rs
+++ b/crates/sched/src/predict.rs
@@ -1,6 +1,7 @@
-//! Prediction of answer lengths from what was seen.
+//! Estimates of answer lengths and pauses from what was seen.
 //!
-//! Lengths are learned per team and kind of program, never from the asked maximum. Each key keeps
+//! Values, in tokens or in milliseconds, are learned per team and kind of program, and lengths never
+//! from the asked maximum. Each key keeps
 //! an exponentially weighted mean and mean deviation; a prediction is the mean plus a margin of
 //! deviations. Unknown keys start from the mean over all keys.
 
@@ -10,7 +11,7 @@
 
 /// Weight of a new sample.
 const GAIN: f64 = 0.15;
-/// Tokens assumed before anything was seen.
+/// Value assumed before anything was seen.
 const FIRST_GUESS: f64 = 64.0;
 /// Deviations added to the mean when memory is reserved.
 const MARGIN: f64 = 1.0;
@@ -31,36 +32,36 @@
     }
 }
 
-/// Lengths seen so far.
+/// Values seen so far.
 #[derive(Clone, Debug)]
-pub struct Lengths {
+pub struct Estimates {
     overall: Track,
     keys: IndexMap<CompactString, Track>,
 }
 
-impl Default for Lengths {
+impl Default for Estimates {
     fn default() -> Self {
         let overall = Track { mean: FIRST_GUESS, deviation: FIRST_GUESS / 2.0 };
         Self { overall, keys: IndexMap::new() }
     }
 }
 
-impl Lengths {
-    /// Expected tokens of an answer.
-    pub fn expect(&self, team: &str, kind: &str) -> Tokens {
-        self.track(team, kind).mean.ceil() as Tokens
+impl Estimates {
+    /// Expected value.
+    pub fn expect(&self, team: &str, kind: &str) -> u64 {
+        self.track(team, kind).mean.ceil() as u64
     }
 
-    /// Tokens worth reserving for an answer: the expectation and a margin, at most `asked`.
+    /// Tokens worth reserving for an answer: the expected ones and a margin, at most `asked`.
     pub fn reserve(&self, team: &str, kind: &str, asked: Tokens) -> Tokens {
         let track = self.track(team, kind);
         let tokens = (track.mean + MARGIN * track.deviation).ceil() as Tokens;
         tokens.min(asked).max(1)
     }
 
-    /// Learns the length of a finished answer.
-    pub fn learn(&mut self, team: &str, kind: &str, tokens: Tokens) {
-        let sample = tokens as f64;
+    /// Learns a value.
+    pub fn learn(&mut self, team: &str, kind: &str, value: u64) {
+        let sample = value as f64;
         self.overall.learn(sample);
         if let Some(track) = self.keys.get_mut(&key(team, kind)) {
             track.learn(sample);
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -6,9 +6,9 @@
 //! starve. Ranks are wall-clock milliseconds, so ranks of different daemons compare, and engines
 //! take them as priorities. Adding, taking and removing cost the logarithm of the queue's length.
 
-use crate::id::{CallId, PoolId, ProgramId, TeamId, Tokens};
+use crate::id::{ProgramId, Tokens};
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Delay of a call's rank for each token that its program has had.
 const DELAY_PER_ATTAINED: Duration = Duration::from_micros(500);
@@ -80,22 +80,12 @@
 pub struct Item {
     /// The program.
     pub program: ProgramId,
-    /// The call.
-    pub call: CallId,
-    /// Team that is served.
-    pub team: TeamId,
-    /// Pool that serves the call.
-    pub pool: PoolId,
     /// Rank in the queue.
     pub rank: Rank,
     /// Memory to reserve at the endpoint, in tokens.
     pub reserve: Tokens,
     /// Tokens that the call is expected to generate.
     pub expected: Tokens,
-    /// When it began to wait.
-    pub since: Instant,
-    /// When it stops being worth running.
-    pub deadline: Instant,
 }
 
 /// Key of a waiting call; unique within a queue.
@@ -143,15 +133,4 @@
     pub fn ahead(&self, key: &Key) -> usize {
         self.items.range(..*key).count()
     }
-
-    /// Removes and returns the calls whose deadline has passed.
-    pub fn expire(&mut self, now: Instant) -> Vec<Item> {
-        let late: Vec<Key> = self
-            .items
-            .iter()
-            .filter(|(_, item)| item.deadline <= now)
-            .map(|(key, _)| *key)
-            .collect();
-        late.iter().filter_map(|key| self.items.remove(key)).collect()
-    }
 }
