Keep a log fenced after its segments are trimmed

Trimming frees segment numbers.

Change: a created segment counts only if the log's head does not cover its number, and a takeover that finds otherwise loads the log again. The head rises before anything is trimmed.

Price: one read for each commit.

--- a/crates/catkinshed/src/traffic/adopt.rs
+++ b/crates/catkinshed/src/traffic/adopt.rs
@@ -1,9 +1,9 @@
 //! Takeover of a log.
 //!
 //! The adopter claims the log's owner key under its lease, replays the snapshot and the segments
-//! after it, and writes a takeover segment at the next number. When that number is taken, the
-//! former owner committed once more: its segment is replayed and the next number is tried. Once
-//! the takeover is durable, the former owner is fenced.
+//! after it, and writes a takeover segment at the next number. When that number is taken, or was
+//! trimmed meanwhile, the log is loaded again and the next number is tried. Once the takeover is
+//! durable, the former owner is fenced.
 
 use super::backoff;
 use super::commit::{self, End};
@@ -125,24 +125,12 @@
                 state.apply(&record)?;
                 return Ok((state, next + 1));
             }
-            End::Fenced => next = replay_one(kv, log, &mut state, next).await?,
+            End::Fenced => (state, next) = load(kv, log).await?,
             End::Invalid => return Err(Failure::Gap(next)),
         }
     }
 }
 
-async fn replay_one(
-    kv: &Client,
-    log: LogId,
-    state: &mut State,
-    number: u64,
-) -> Result<u64, Failure> {
-    let entry = kv.get(&keys::segment(log, number)).await?;
-    let entry = entry.ok_or(Failure::Gap(number))?;
-    replay(state, &entry.value)?;
-    Ok(number + 1)
-}
-
 async fn load(kv: &Client, log: LogId) -> Result<(State, u64), Failure> {
     let mut backoff = backoff::platform();
     let mut result = Err(Failure::Gap(0));
--- a/crates/catkinshed/src/traffic/commit.rs
+++ b/crates/catkinshed/src/traffic/commit.rs
@@ -3,10 +3,15 @@
 //! A segment is created only if its number is free. That is the fence: once a new owner has
 //! written its takeover, every later commit of the former owner finds its number taken. A write
 //! whose answer was lost is settled by reading the number back and comparing the nonce.
+//!
+//! Trimming frees numbers again, so a created segment counts only if the log's head does not cover
+//! its number: the head rises before anything is trimmed, and covers a number only after the owner
+//! of that time has seen the number durable.
 
 use super::backoff;
 use super::keys;
 use super::segment::{self, Segment};
+use super::snapshot::{self, Fault};
 use crate::control::event::{Event, Events};
 use platform::kv::{Client, Error, Swap};
 use sched::id::LogId;
@@ -33,10 +38,9 @@
     let Ok(value) = segment::pack(segment) else {
         return End::Invalid;
     };
-    let key = keys::segment(log, number);
     let mut backoff = backoff::platform();
     loop {
-        match attempt(kv, &key, &value, segment.nonce).await {
+        match attempt(kv, log, number, &value, segment.nonce).await {
             Ok(Some(end)) => {
                 events.send(Event::Platform(true));
                 return end;
@@ -53,11 +57,31 @@
     }
 }
 
-async fn attempt(kv: &Client, key: &str, value: &[u8], nonce: u64) -> Result<Option<End>, Error> {
-    match kv.create(key, value, None).await {
-        Ok(Swap::Done(_)) => Ok(Some(End::Durable)),
-        Ok(Swap::Conflict) | Err(Error::Unknown(_)) => read_back(kv, key, nonce).await,
-        Err(error) => Err(error),
+async fn attempt(
+    kv: &Client,
+    log: LogId,
+    number: u64,
+    value: &[u8],
+    nonce: u64,
+) -> Result<Option<End>, Error> {
+    let key = keys::segment(log, number);
+    let end = match kv.create(&key, value, None).await {
+        Ok(Swap::Done(_)) => Some(End::Durable),
+        Ok(Swap::Conflict) | Err(Error::Unknown(_)) => read_back(kv, &key, nonce).await?,
+        Err(error) => return Err(error),
+    };
+    match end {
+        Some(End::Durable) if is_trimmed(kv, log, number).await? => Ok(Some(End::Fenced)),
+        end => Ok(end),
+    }
+}
+
+/// Tells whether another owner's snapshot covers the number.
+async fn is_trimmed(kv: &Client, log: LogId, number: u64) -> Result<bool, Error> {
+    match snapshot::read_head(kv, log).await {
+        Ok((head, _)) => Ok(head.number >= number),
+        Err(Fault::Platform(error)) => Err(error),
+        Err(fault) => Err(Error::Malformed(fault.to_string())),
     }
 }
 
--- a/crates/catkinshed/src/traffic/snapshot.rs
+++ b/crates/catkinshed/src/traffic/snapshot.rs
@@ -76,7 +76,12 @@
     Ok((segment::unpack(&packed)?, head.number))
 }
 
-async fn read_head(kv: &Client, log: LogId) -> Result<(Head, u64), Fault> {
+/// Reads a log's head and its revision.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the service is out of reach or the head is damaged.
+pub async fn read_head(kv: &Client, log: LogId) -> Result<(Head, u64), Fault> {
     match kv.get(&keys::head(log)).await? {
         Some(entry) => Ok((segment::unpack(&entry.value)?, entry.revision)),
         None => Ok((Head::default(), 0)),
--- /dev/null
+++ b/crates/catkinshed/tests/trimming.rs
@@ -0,0 +1,72 @@
+//! Trimming a log does not open its fence.
+
+use catkinshed::control::event::Events;
+use catkinshed::routes::Member;
+use catkinshed::traffic::adopt;
+use catkinshed::traffic::commit::{self, End};
+use catkinshed::traffic::segment::{self, Segment};
+use catkinshed::traffic::snapshot;
+use sched::log::State;
+use sched::record::{Record, Spec};
+use std::time::Duration;
+use testing::cluster::{Cluster, Spec as ClusterSpec};
+
+const LOG: u16 = 3;
+
+async fn cluster() -> Cluster {
+    Cluster::start(ClusterSpec { engines: 0, services: 0, ..ClusterSpec::default() }).await
+}
+
+fn segment_of(epoch: u64, nonce: u64, records: Vec<Record>) -> Segment {
+    Segment { epoch, nonce, records }
+}
+
+/// Writes five segments of one owner, and a snapshot that covers and trims them.
+async fn write_and_trim(kv: &platform::kv::Client, events: &Events) -> State {
+    let mut state = State::new(LOG);
+    let takeover = Record::Takeover { epoch: 1, vm: "first".into() };
+    state.apply(&takeover).expect("a takeover");
+    let end = commit::commit(kv, events, LOG, 1, &segment_of(1, 1, vec![takeover])).await;
+    assert_eq!(end, End::Durable);
+    for number in 2..=5 {
+        let create = Record::Create { program: state.next_program(), spec: Spec::default() };
+        state.apply(&create).expect("a program");
+        let segment = segment_of(1, number, vec![create]);
+        assert_eq!(commit::commit(kv, events, LOG, number, &segment).await, End::Durable);
+    }
+    let packed = segment::pack(&state).expect("a snapshot");
+    snapshot::write(kv, LOG, 5, &packed).await.expect("the snapshot is written");
+    state
+}
+
+#[tokio::test]
+async fn a_former_owner_cannot_write_a_trimmed_number() {
+    let cluster = cluster().await;
+    let kv = cluster.kv_client();
+    let (events, _receiver) = Events::channel();
+    let state = write_and_trim(&kv, &events).await;
+    let late = Record::Create { program: "3-99".into(), spec: Spec::default() };
+    let late = segment_of(1, 99, vec![late]);
+    assert_eq!(commit::commit(&kv, &events, LOG, 3, &late).await, End::Fenced);
+    let me = Member { vm: "next".into(), incarnation: 1, ..Member::default() };
+    let lease = kv.grant(Duration::from_secs(10)).await.expect("a lease");
+    let adopted = adopt::adopt(&kv, &events, LOG, &me, lease).await.expect("a takeover");
+    assert_eq!(adopted.state.programs, state.programs);
+    assert_eq!(adopted.next, 7);
+}
+
+#[tokio::test]
+async fn a_takeover_after_the_snapshot_keeps_every_program() {
+    let cluster = cluster().await;
+    let kv = cluster.kv_client();
+    let (events, _receiver) = Events::channel();
+    let state = write_and_trim(&kv, &events).await;
+    let create = Record::Create { program: state.next_program(), spec: Spec::default() };
+    let segment = segment_of(1, 6, vec![create]);
+    assert_eq!(commit::commit(&kv, &events, LOG, 6, &segment).await, End::Durable);
+    let me = Member { vm: "next".into(), incarnation: 1, ..Member::default() };
+    let lease = kv.grant(Duration::from_secs(10)).await.expect("a lease");
+    let adopted = adopt::adopt(&kv, &events, LOG, &me, lease).await.expect("a takeover");
+    assert_eq!(adopted.state.programs.len(), 5);
+    assert_eq!((adopted.state.epoch, adopted.next), (2, 8));
+}
