Judge each observer's configuration versions by themselves

Three observers pushed into one list; an answer given before another could be pushed after it. Ruled out: a daemon that went back; each observer's own answers rise.

Change: each observer has its own list, in which the order of its answers is known. The check itself is as it was.

--- a/crates/catkinshed/tests/configuration.rs
+++ b/crates/catkinshed/tests/configuration.rs
@@ -98,7 +98,9 @@
             for row in rows {
                 let vm = row["daemon"].as_str().unwrap_or_default();
                 let version = row["version"].as_u64().unwrap_or_default();
-                evidence.versions.entry(vm.into()).or_default().push(version);
+                // Answers of two observers come in no known order, so each has its own list.
+                let observed = format!("{vm} as seen by {addr}").into();
+                evidence.versions.entry(observed).or_default().push(version);
             }
         }
         tokio::time::sleep(Duration::from_millis(30)).await;
