--- a/crates/catkinshed/tests/bites.rs
+++ b/crates/catkinshed/tests/bites.rs
@@ -67,7 +67,7 @@
     fleet.cluster.faults.endpoint("booking-0", |e| e.lose_answer_every = 1);
     let (program, call) = book(&fleet).await;
     let mut client = Client::new(&fleet.addrs(), VANS_TOKEN, 0);
-    let told = tell(client.try_call(&program, &call).await);
+    let told = Told::from(client.try_call(&program, &call).await);
     assert_seen(&evidence_of(&fleet, &program, &call, told), Promise::NotRun);
 }
 
@@ -103,7 +103,7 @@
     fleet.cluster.faults.set(|state| state.kv.down = false);
     let _broken = asked.await;
     fleet.restart(0).await;
-    let told = tell(Client::new(&addrs, VANS_TOKEN, 0).call(&program, &call).await);
+    let told = Told::from(Client::new(&addrs, VANS_TOKEN, 0).call(&program, &call).await);
     tokio::time::sleep(Duration::from_millis(1000)).await;
     evidence_of(&fleet, &program, &call, told)
 }
@@ -130,16 +130,6 @@
     (program, service(1, "booking", "book", "one seat", false))
 }
 
-fn tell(result: Result<caller::client::Answer, caller::client::Error>) -> Told {
-    match result {
-        Ok(answer) => Told::Ended(answer.end.outcome, answer.text),
-        Err(caller::client::Error::Refused(refusal)) => {
-            Told::Refused(refusal.ran, refusal.to_string())
-        }
-        Err(caller::client::Error::Broken(reason)) => Told::Nothing(reason),
-    }
-}
-
 fn evidence_of(fleet: &Fleet, program: &str, call: &Call, told: Told) -> Evidence {
     let entry = Entry { program: program.into(), call: call.clone(), told };
     let effects = fleet.cluster.effects();
--- a/crates/testing/src/check.rs
+++ b/crates/testing/src/check.rs
@@ -7,6 +7,7 @@
 use crate::engine::whole_text;
 use crate::service::Line;
 use caller::api::{Call, History};
+use caller::client::{Answer, Error};
 use compact_str::CompactString;
 use indexmap::{IndexMap, IndexSet};
 use sched::call::{Outcome, Stop, Turn, Work};
@@ -56,6 +57,16 @@
     Nothing(String),
 }
 
+impl From<Result<Answer, Error>> for Told {
+    fn from(result: Result<Answer, Error>) -> Self {
+        match result {
+            Ok(answer) => Self::Ended(answer.end.outcome, answer.text),
+            Err(Error::Refused(refusal)) => Self::Refused(refusal.ran, refusal.to_string()),
+            Err(Error::Broken(reason)) => Self::Nothing(reason),
+        }
+    }
+}
+
 /// One call as its client saw it.
 #[derive(Clone, Debug)]
 pub struct Entry {
--- a/crates/testing/src/load.rs
+++ b/crates/testing/src/load.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{CREW_TOKEN, Cluster, VANS_TOKEN};
 use crate::program::{model, service};
 use caller::api::{Call, Create};
-use caller::client::{Client, Error};
+use caller::client::Client;
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
 use sched::id::{ProgramId, Tokens};
@@ -165,17 +165,13 @@
         true => client.call(program, call).await,
         false => client.try_call(program, call).await,
     };
-    match result {
-        Ok(answer) => {
-            match answer.end.receipt {
-                Some(receipt) => receipts.push(receipt),
-                None => receipts.clear(),
-            }
-            Told::Ended(answer.end.outcome, answer.text)
+    if let Ok(answer) = &result {
+        match &answer.end.receipt {
+            Some(receipt) => receipts.push(receipt.clone()),
+            None => receipts.clear(),
         }
-        Err(Error::Refused(refusal)) => Told::Refused(refusal.ran, refusal.to_string()),
-        Err(Error::Broken(reason)) => Told::Nothing(reason),
     }
+    result.into()
 }
 
 /// Reads all histories back, cancels what is left, and gathers the stand-ins' evidence.
