--- a/crates/catkinshed/tests/bites.rs
+++ b/crates/catkinshed/tests/bites.rs
@@ -3,7 +3,7 @@
 //! Each case injects a fault into the daemons' own code, runs what brings it out, and expects the
 //! check of that promise to see it.
 
-use caller::api::Call;
+use caller::api::{Call, History};
 use caller::client::Client;
 use catkinshed::settings::Injected;
 use indexmap::IndexSet;
@@ -130,33 +130,22 @@
     (program, service(1, "booking", "book", "one seat", false))
 }
 
+/// Evidence of one call; its history is what the client was told, so only the effects are judged.
 fn evidence_of(fleet: &Fleet, program: &str, call: &Call, told: Told) -> Evidence {
-    let entry = Entry { program: program.into(), call: call.clone(), told };
     let effects = fleet.cluster.effects();
-    // The history is not read here; only the effects are judged.
-    let judged = !matches!(entry.told, Told::Ended(..));
-    let entries = vec![entry];
-    let mut evidence = Evidence { entries, effects, ..Evidence::default() };
-    if !judged && let Told::Ended(outcome, _) = &evidence.entries[0].told {
-        let turn = sched::call::Turn {
-            call: sched::call::Call {
-                id: call.call.clone(),
-                seq: call.seq,
-                work: call.work.clone(),
-            },
-            outcome: outcome.clone(),
-        };
-        let history = caller::api::History {
-            program: program.into(),
-            budget: 1_000,
-            spent: 0,
-            unsettled: 0,
-            ending: None,
+    let mut evidence = Evidence { effects, ..Evidence::default() };
+    if let Told::Ended(outcome, _) = &told {
+        let (id, seq, work) = (call.call.clone(), call.seq, call.work.clone());
+        let call = sched::call::Call { id, seq, work };
+        let turn = sched::call::Turn { call, outcome: outcome.clone() };
+        let kept = sched::program::Program {
+            spec: sched::record::Spec { budget: 1_000, ..Default::default() },
             turns: vec![turn],
-            pins: Vec::new(),
+            ..Default::default()
         };
-        evidence.histories.insert(program.into(), history);
+        evidence.histories.insert(program.into(), History::new(program.into(), kept));
     }
+    evidence.entries.push(Entry { program: program.into(), call: call.clone(), told });
     evidence
 }
 
