--- a/crates/catkinshed/src/daemon.rs
+++ b/crates/catkinshed/src/daemon.rs
@@ -99,6 +99,7 @@
         let rocket = http::build(app).ignite().await;
         let rocket = rocket.map_err(|error| anyhow::anyhow!("HTTP server: {}", error.kind()))?;
         let shutdown = rocket.shutdown();
+        let deaf = settings.injects(Injected::NoFence).then(|| settings.vm.clone());
         let tasks = vec![
             tokio::spawn(serve_peers(listener, settings.clone(), events.clone(), flights.clone())),
             tokio::spawn(session::hold(
@@ -107,7 +108,7 @@
                 shared.me.clone(),
                 millis(settings.limits.lease_ttl_ms),
             )),
-            tokio::spawn(watches::live(kv.clone(), shared.routes.clone())),
+            tokio::spawn(watches::live(kv.clone(), shared.routes.clone(), deaf)),
             tokio::spawn(watches::config(kv.clone(), events.clone())),
             tokio::spawn(vms::poll(
                 vm_list,
@@ -255,6 +256,7 @@
     match request {
         Request::Ask(asker, ask) => events.send(Event::Ask { asker, ask, outbox }),
         Request::Report(report) => events.send(Event::Report(report)),
+        Request::Gateway(_) => log::warn!("a gateway asks this daemon, which is none"),
         Request::Query(query) => {
             let (sender, answer) = oneshot::channel();
             events.send(Event::Query(query, sender));
--- a/crates/catkinshed/src/http/answer.rs
+++ b/crates/catkinshed/src/http/answer.rs
@@ -68,7 +68,8 @@
         | Reply::Done
         | Reply::NotOwner
         | Reply::Moved
-        | Reply::Answer(_) => None,
+        | Reply::Answer(_)
+        | Reply::Gateway(_) => None,
     }
 }
 
--- a/crates/catkinshed/src/lib.rs
+++ b/crates/catkinshed/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`traffic`] talks to the platform, the endpoints and the peers;
 //! * [`http`] is the callers' and operators' interface;
 //! * [`daemon`] puts the parts together and stops them in order;
+//! * [`logs`] writes log lines;
 //! * [`ops`] holds one module for each command of the command line.
 
 pub mod cli;
@@ -19,6 +20,7 @@
 pub mod entry;
 pub mod gather;
 pub mod http;
+pub mod logs;
 pub mod ops;
 pub mod receipt;
 pub mod routes;
--- a/crates/catkinshed/src/settings.rs
+++ b/crates/catkinshed/src/settings.rs
@@ -277,17 +277,30 @@
 }
 
 fn check_all(path: &Path, checks: &[(bool, &'static str, &str)]) -> Result<(), Error> {
-    match checks.iter().find(|(valid, _, _)| !valid) {
+    let found = checks.iter().find(|(valid, _, _)| !valid);
+    reject(path, found.map(|(_, key, reason)| (*key, *reason)))
+}
+
+/// Turns a key with a reason against its value into an error.
+///
+/// # Errors
+///
+/// Returns [`Error::Invalid`] when `found` names a key.
+pub fn reject(path: &Path, found: Option<(&'static str, &str)>) -> Result<(), Error> {
+    match found {
         None => Ok(()),
-        Some((_, key, reason)) => Err(Error::Invalid {
-            path: path.display().to_string(),
-            key,
-            reason: (*reason).to_owned(),
-        }),
+        Some((key, reason)) => {
+            Err(Error::Invalid { path: path.display().to_string(), key, reason: reason.to_owned() })
+        }
     }
 }
 
-fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+/// Reads a file in JSON with comments.
+///
+/// # Errors
+///
+/// Returns an [`Error`] that names the file, the line and the key at fault.
+pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
     let text = std::fs::read_to_string(path).map_err(|error| Error::Unreadable {
         path: path.display().to_string(),
         reason: error.to_string(),
--- a/crates/catkinshed/src/traffic/adopt.rs
+++ b/crates/catkinshed/src/traffic/adopt.rs
@@ -149,7 +149,7 @@
 async fn load_once(kv: &Client, log: LogId) -> Result<(State, u64), Failure> {
     let (mut state, covered) = snapshot::read(kv, log).await?;
     let mut next = covered + 1;
-    let listing = kv.list(&keys::segments(log), &keys::segment(log, next)).await?;
+    let listing = kv.list(&keys::segments(log), &keys::segment(log, covered)).await?;
     for entry in listing.entries {
         if entry.key != keys::segment(log, next) {
             return Err(Failure::Gap(next));
--- a/crates/catkinshed/src/traffic/changes.rs
+++ b/crates/catkinshed/src/traffic/changes.rs
@@ -56,8 +56,8 @@
 ///
 /// Returns an [`Error`] when the service is out of reach.
 pub async fn read(kv: &Client, version: Version, count: u64) -> Result<Vec<Change>, Error> {
-    let first = version.saturating_sub(count) + 1;
-    let listing = kv.list(keys::CHANGES, &keys::change(first)).await?;
+    let before = version.saturating_sub(count);
+    let listing = kv.list(keys::CHANGES, &keys::change(before)).await?;
     let changes =
         listing.entries.iter().filter_map(|entry| serde_json::from_slice(&entry.value).ok());
     Ok(changes.collect())
--- a/crates/catkinshed/src/traffic/snapshot.rs
+++ b/crates/catkinshed/src/traffic/snapshot.rs
@@ -98,7 +98,7 @@
 }
 
 async fn trim(kv: &Client, log: LogId, number: u64, former: u64) -> Result<(), Error> {
-    kv.delete_range(&keys::segment(log, 0), &keys::segment(log, number + 1)).await?;
+    kv.delete_range(&keys::segments(log), &keys::segment(log, number + 1)).await?;
     if former > 0 {
         let from = keys::snapshot(log, former);
         kv.delete_range(&from, &format!("{from}~")).await?;
--- a/crates/catkinshed/src/traffic/watch.rs
+++ b/crates/catkinshed/src/traffic/watch.rs
@@ -10,12 +10,19 @@
 use crate::routes::{Member, Routes, Table};
 use platform::kv::{self, Client, Entry, Error};
 use sched::config::{Change, Config};
+use sched::id::VmId;
+use std::time::Duration;
+
+/// Longest time for which the injected fault keeps news of owners away.
+const DEAF_FOR: Duration = Duration::from_secs(1);
 
 /// Keeps the routes up to date.
-pub async fn live(kv: Client, routes: Routes) {
+///
+/// `deaf` names a daemon that, by an injected fault, does not learn that its logs have other owners.
+pub async fn live(kv: Client, routes: Routes, deaf: Option<VmId>) {
     let mut backoff = backoff::platform();
     loop {
-        let result = live_once(&kv, &routes).await;
+        let result = live_once(&kv, &routes, deaf.as_ref()).await;
         if let Err(error) = result {
             log::debug!("the watch of members ended: {error}");
         }
@@ -26,18 +33,35 @@
     }
 }
 
-async fn live_once(kv: &Client, routes: &Routes) -> Result<(), Error> {
+async fn live_once(kv: &Client, routes: &Routes, deaf: Option<&VmId>) -> Result<(), Error> {
     let listing = kv.list(keys::LIVE, "").await?;
     let mut table = Table::default();
     for entry in &listing.entries {
         put(&mut table, entry);
     }
     routes.update(|current| *current = table);
-    kv.watch(keys::LIVE, listing.revision + 1, |events, _| {
-        routes.update(|table| events.iter().for_each(|event| apply(table, event)));
+    let watch = kv.watch(keys::LIVE, listing.revision, |events, _| {
+        routes.update(|table| {
+            let heard = events.iter().filter(|event| !ignored(table, event, deaf));
+            let heard: Vec<&kv::Event> = heard.collect();
+            heard.into_iter().for_each(|event| apply(table, event));
+        });
         true
-    })
-    .await
+    });
+    if deaf.is_some() {
+        // The next listing tells what was not heard.
+        return tokio::time::timeout(DEAF_FOR, watch).await.unwrap_or(Ok(()));
+    }
+    watch.await
+}
+
+fn ignored(table: &Table, event: &kv::Event, deaf: Option<&VmId>) -> bool {
+    let key = match event {
+        kv::Event::Put(entry) => &entry.key,
+        kv::Event::Delete(key) => key,
+    };
+    let owner = keys::owner_log(key).and_then(|log| table.owners.get(&log));
+    deaf.is_some() && owner.map(|owner| &owner.vm) == deaf
 }
 
 fn apply(table: &mut Table, event: &kv::Event) {
@@ -88,12 +112,12 @@
         *version = config.version;
         events.send(Event::Config(Box::new(config)));
     }
-    let listing = kv.list(keys::CHANGES, &keys::change(*version + 1)).await?;
+    let listing = kv.list(keys::CHANGES, &keys::change(*version)).await?;
     for entry in &listing.entries {
         deliver(entry, events, version);
     }
     events.send(Event::ConfigRead);
-    kv.watch(keys::CHANGES, listing.revision + 1, |batch, _| {
+    kv.watch(keys::CHANGES, listing.revision, |batch, _| {
         for event in &batch {
             if let kv::Event::Put(entry) = event {
                 deliver(entry, events, version);
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,205 @@
+//! Start and stop of a gateway daemon.
+//!
+//! The control thread keeps the view, the membership and the probes; the traffic thread serves
+//! clients and their reservations. A stop first turns readiness off and goes on serving, since the
+//! balancer takes a while to see it; then connections close after their request under way.
+
+use crate::desk::Desk;
+use crate::follow::{Follower, Health, Part};
+use crate::forward::Context as Shared;
+use crate::ingress::{self, Flights, Phase};
+use crate::members;
+use crate::peers;
+use crate::probes::{self, Probe};
+use crate::settings::{Settings, millis};
+use crate::view::View;
+use anyhow::{Context, Result};
+use peer::gateway::Member;
+use platform::kv::{Client, Error, LeaseId, Swap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Interval of dropping what is no longer needed.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause before a failed registration is tried again.
+const REGISTER_RETRY: Duration = Duration::from_millis(500);
+
+/// Runs a gateway until SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns an error when the daemon cannot start; the message says what to do.
+pub fn run(settings: Settings) -> Result<()> {
+    let settings = Arc::new(settings);
+    let bound = millis(settings.limits.platform_timeout_ms);
+    let kv = Client::new(&settings.kv, bound).context("key-value client")?;
+    let view = Arc::new(View::default());
+    let desk = Arc::new(Desk::new(settings.clone(), view.clone(), kv.clone()));
+    let phase = watch::Sender::new(Phase::Serving);
+    let flights = Flights::default();
+    let context = Arc::new(Shared::new(settings.clone(), view.clone(), desk.clone()));
+    let traffic = {
+        let (settings, phase, flights) = (settings.clone(), phase.subscribe(), flights.clone());
+        let (context, desk, view) = (context.clone(), desk.clone(), view.clone());
+        let runtime = runtime()?;
+        let serve = async move {
+            let listener = bind(&settings).await?;
+            let peers = TcpListener::bind(settings.peer_addr).await?;
+            tokio::spawn(serve_peers(peers, settings.clone(), desk, view));
+            ingress::serve(listener, context, phase, flights).await;
+            anyhow::Ok(())
+        };
+        std::thread::Builder::new().name("traffic".to_owned()).spawn(move || {
+            if let Err(error) = runtime.block_on(serve) {
+                log::error!("clients cannot be served: {error:#}");
+                std::process::exit(1);
+            }
+        })
+    };
+    traffic.context("the traffic thread cannot start")?;
+    let health = Arc::new(Health::default());
+    let follower = Follower {
+        settings: settings.clone(),
+        view: view.clone(),
+        kv: kv.clone(),
+        desk: desk.clone(),
+        health,
+    };
+    runtime()?.block_on(async {
+        tokio::spawn(follower.clone().keep(Part::Configuration));
+        tokio::spawn(follower.clone().keep(Part::Directory));
+        tokio::spawn(follower.peers());
+        let probe = Probe { view, phase: phase.subscribe() };
+        let addr = settings.probe_addr;
+        tokio::spawn(async move {
+            if let Err(error) = probes::serve(addr, probe).await {
+                log::error!("{error:#}");
+            }
+        });
+        tokio::spawn(sweep(context));
+        let member = tokio::spawn(hold_member(settings.clone(), kv.clone()));
+        log::info!(target: "daemon", vm = settings.vm.as_str(); "started");
+        stop_signal().await?;
+        log::info!(target: "daemon", vm = settings.vm.as_str(); "stopping");
+        phase.send_replace(Phase::Leaving);
+        member.abort();
+        if let Err(error) = leave(&settings, &kv).await {
+            log::info!(target: "member", "the member key lapses with its lease: {error}");
+        }
+        sleep(millis(settings.limits.stop_close_ms)).await;
+        phase.send_replace(Phase::Closing);
+        let wait = millis(settings.limits.stop_wait_ms - settings.limits.stop_close_ms);
+        let landed = timeout(wait, flights.landed()).await.is_ok();
+        log::info!(target: "daemon", vm = settings.vm.as_str(), landed; "stopped");
+        Ok(())
+    })
+}
+
+fn runtime() -> Result<Runtime> {
+    Builder::new_current_thread().enable_all().build().context("the runtime cannot start")
+}
+
+async fn bind(settings: &Settings) -> Result<TcpListener> {
+    TcpListener::bind(settings.client_addr).await.with_context(|| {
+        format!("client_addr {} cannot be bound; is another daemon running?", settings.client_addr)
+    })
+}
+
+async fn stop_signal() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = reload.recv() => {
+                log::info!(target: "daemon", "told to reload; the settings of a running daemon are fixed");
+            }
+        }
+    }
+}
+
+async fn serve_peers(
+    listener: TcpListener,
+    settings: Arc<Settings>,
+    desk: Arc<Desk>,
+    view: Arc<View>,
+) {
+    let key: Arc<[u8]> = settings.cluster_key.as_bytes().into();
+    let handle = move |request, outbox| peers::take(request, outbox, &desk, &view);
+    if let Err(error) = peer::server::serve(listener, key, handle).await {
+        log::error!("peers are not served any more: {error}");
+    }
+}
+
+async fn sweep(context: Arc<Shared>) {
+    loop {
+        sleep(SWEEP_INTERVAL).await;
+        let now = Instant::now();
+        context.pool.sweep(now);
+        context.desk.sweep(now);
+        context.view.fleet(|fleet| fleet.sweep(now));
+    }
+}
+
+/// Deletes the member key, so that no peer asks this daemon any more.
+async fn leave(settings: &Settings, kv: &Client) -> Result<(), Error> {
+    let key = members::key(&settings.vm);
+    match kv.get(&key).await? {
+        Some(entry) => kv.delete(&key, entry.revision).await.map(drop),
+        None => Ok(()),
+    }
+}
+
+/// Keeps this daemon's member key.
+async fn hold_member(settings: Arc<Settings>, kv: Client) {
+    let member = Member {
+        vm: settings.vm.clone(),
+        dc: settings.dc.clone(),
+        addr: compact_str::format_compact!("{}", settings.peer_addr),
+        incarnation: fastrand::u64(1..),
+    };
+    loop {
+        if let Err(error) = hold_lease(&settings, &kv, &member).await {
+            log::debug!(target: "member", "the member key is not held: {error}");
+        }
+        sleep(REGISTER_RETRY.mul_f64(0.5 + fastrand::f64())).await;
+    }
+}
+
+async fn hold_lease(settings: &Settings, kv: &Client, member: &Member) -> Result<(), Error> {
+    let ttl = millis(settings.limits.lease_ttl_ms);
+    let lease = kv.grant(ttl).await?;
+    register(kv, member, lease).await?;
+    let mut renewed = Instant::now();
+    loop {
+        sleep(ttl / 3).await;
+        match kv.keep_alive(lease).await {
+            Ok(()) => renewed = Instant::now(),
+            Err(Error::LeaseLapsed) => return Err(Error::LeaseLapsed),
+            Err(error) if renewed.elapsed() >= ttl => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Writes the member key, over that of an earlier process on this VM.
+async fn register(kv: &Client, member: &Member, lease: LeaseId) -> Result<(), Error> {
+    let key = members::key(&member.vm);
+    let value = serde_json::to_vec(member).map_err(|error| Error::Malformed(error.to_string()))?;
+    if let Swap::Done(_) = kv.create(&key, &value, Some(lease)).await? {
+        return Ok(());
+    }
+    let found = kv.get(&key).await?;
+    let revision = found.map_or(0, |entry| entry.revision);
+    match kv.swap(&key, &value, revision, Some(lease)).await? {
+        Swap::Done(_) => Ok(()),
+        Swap::Conflict => Err(Error::Refused("the member key changed meanwhile".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,510 @@
+//! One request on its way from a client to an endpoint and back.
+
+use crate::answer::{self, Body, Reason};
+use crate::desk::{Desk, Error as DeskError, Reservation};
+use crate::relay::Relay;
+use crate::settings::{Settings, millis};
+use crate::upstream::{self, Link, Order, Pool};
+use crate::view::View;
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use platform::header;
+use sched::attempt::{self, Attempt, Loss, Next};
+use sched::fleet::{Need, Registration};
+use sched::id::EndpointId;
+use sched::request::Facts;
+use sched::route::{Route, Table};
+use sched::spend;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// Time after which a request is worth sending again when no endpoint took it.
+const RETRY_NO_ENDPOINT: Duration = Duration::from_millis(250);
+/// Time after which a request is worth sending again when this daemon cannot serve it yet.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+/// Longest answer that is read before it is passed on, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Time before the end of the wait at which the last answer is given.
+const LAST_ANSWER: Duration = Duration::from_millis(15);
+/// Pause before the same endpoint is asked again after it broke off.
+const SAME_PAUSE: Duration = Duration::from_millis(5);
+/// Weight of the affinity to an endpoint, as a share of its slots.
+const AFFINITY_LOAD: f64 = 0.3;
+
+/// What all requests share.
+pub struct Context {
+    /// Settings of the daemon.
+    pub settings: Arc<Settings>,
+    /// What the daemon believes.
+    pub view: Arc<View>,
+    /// Connections to endpoints.
+    pub pool: Arc<Pool>,
+    /// Reservations of budgets.
+    pub desk: Arc<Desk>,
+    rng: Mutex<fastrand::Rng>,
+}
+
+impl Context {
+    /// Puts the parts together.
+    pub fn new(settings: Arc<Settings>, view: Arc<View>, desk: Arc<Desk>) -> Self {
+        let rng = Mutex::new(fastrand::Rng::new());
+        Self { settings, view, pool: Arc::default(), desk, rng }
+    }
+
+    fn with_rng<R>(&self, draw: impl FnOnce(&mut fastrand::Rng) -> R) -> R {
+        draw(&mut self.rng.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn retry_after(&self, expected: Duration) -> Option<Duration> {
+        Some(self.with_rng(|rng| attempt::retry_after(expected, rng)))
+    }
+
+    /// Counts a request at an endpoint until the guard is dropped.
+    fn begin(self: &Arc<Self>, endpoint: &EndpointId) -> Visit {
+        self.view.fleet(|fleet| fleet.begin(endpoint));
+        Visit { context: self.clone(), endpoint: endpoint.clone() }
+    }
+}
+
+/// A request at an endpoint.
+pub struct Visit {
+    context: Arc<Context>,
+    endpoint: EndpointId,
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.context.view.fleet(|fleet| fleet.end(&self.endpoint));
+    }
+}
+
+/// A request as it arrived, with all of its body.
+pub struct Arrival {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// What it says of itself.
+    pub facts: Facts,
+    /// When its head arrived.
+    pub at: Instant,
+}
+
+/// A request under way.
+pub struct Trip {
+    /// What all requests share.
+    pub context: Arc<Context>,
+    /// The request.
+    pub arrival: Arrival,
+    /// Its route.
+    pub route: Route,
+    service: CompactString,
+    attempt: Attempt,
+    until: Instant,
+}
+
+/// An answer whose head has come.
+pub struct Head {
+    /// The head and the rest of the answer.
+    pub response: Response<Incoming>,
+    /// Its connection.
+    pub link: Link,
+    /// Its endpoint.
+    pub registration: Registration,
+    /// Counts the request at the endpoint.
+    pub visit: Visit,
+}
+
+/// Serves one request.
+pub async fn serve(context: Arc<Context>, table: &Table, arrival: Arrival) -> Response<Body> {
+    let id = arrival.facts.id.clone();
+    let host = arrival.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(arrival.uri.host()).unwrap_or_default();
+    let Some(route) = table.find(host, arrival.uri.path()) else {
+        return answer::own(Reason::NoRoute, &id, None);
+    };
+    let Some(service) = route.service(arrival.facts.affinity()) else {
+        return answer::own(Reason::NoEndpoint, &id, context.retry_after(RETRY_NO_ENDPOINT));
+    };
+    let wait = arrival.facts.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
+    let trip = Trip {
+        attempt: Attempt::new(route.kind, route.max_attempts),
+        until: arrival.at + wait,
+        service: service.clone(),
+        route: route.clone(),
+        context,
+        arrival,
+    };
+    trip.run().await
+}
+
+impl Trip {
+    /// Time left.
+    fn left(&self, now: Instant) -> Duration {
+        self.until.saturating_duration_since(now)
+    }
+
+    /// Moment at which the last answer is due.
+    pub fn due(&self) -> Instant {
+        self.until - LAST_ANSWER
+    }
+
+    async fn run(mut self) -> Response<Body> {
+        let reservation = match self.reserve().await {
+            Ok(reservation) => reservation,
+            Err(response) => return *response,
+        };
+        loop {
+            let head = match self.head(None, None).await {
+                Ok(head) => head,
+                Err(reason) => return self.give_up(reason),
+            };
+            let streams = self.route.kind.streams() && head.response.status().is_success();
+            if streams {
+                return self.stream(head, reservation).await;
+            }
+            match self.whole(head).await {
+                Ok(response) => return response,
+                Err(Next::Anywhere | Next::Same(_)) => {}
+                Err(Next::RefuseNotRun) => return self.give_up(Reason::NoEndpoint),
+                Err(Next::Unknown) => return self.give_up(Reason::Unknown),
+            }
+        }
+    }
+
+    async fn reserve(&self) -> Result<Option<Reservation>, Box<Response<Body>>> {
+        let facts = &self.arrival.facts;
+        let (Some(program), Some(budget)) = (&facts.program, facts.budget) else {
+            return Ok(None);
+        };
+        if !self.route.kind.streams() {
+            return Ok(None);
+        }
+        let ask = spend::Ask {
+            program: program.clone(),
+            budget,
+            request: facts.id.clone(),
+            most: facts.max_output,
+            daemon: self.context.settings.vm.clone(),
+            handed_out: 0,
+            retention: self.route.retention,
+        };
+        match self.context.desk.reserve(ask).await {
+            Ok(reservation) => Ok(Some(reservation)),
+            Err(DeskError::Exhausted) => Err(Box::new(self.own(Reason::BudgetSpent, None))),
+            Err(DeskError::NoOwner) => {
+                let retry_after = self.context.retry_after(RETRY_ELSEWHERE);
+                Err(Box::new(self.own(Reason::NoOwner, retry_after)))
+            }
+        }
+    }
+
+    /// Brings the request to an endpoint and waits for the head of its answer.
+    ///
+    /// `only` names the endpoint to go to, `resume_after` the last event that the client has.
+    pub async fn head(
+        &mut self,
+        mut only: Option<EndpointId>,
+        resume_after: Option<u64>,
+    ) -> Result<Head, Reason> {
+        loop {
+            let now = Instant::now();
+            if now >= self.due() {
+                return Err(self.overdue());
+            }
+            let Some(registration) = self.place(only.take(), now) else {
+                return Err(match self.attempt.give_up() {
+                    Next::RefuseNotRun => Reason::NoEndpoint,
+                    _ => Reason::Unknown,
+                });
+            };
+            let next = match self.visit(registration, resume_after).await {
+                Ok(head) => return Ok(head),
+                Err(next) => next,
+            };
+            match next {
+                Next::Anywhere => {}
+                Next::Same(endpoint) => {
+                    tokio::time::sleep(SAME_PAUSE).await;
+                    only = Some(endpoint);
+                }
+                Next::RefuseNotRun => return Err(Reason::NoEndpoint),
+                Next::Unknown if Instant::now() >= self.due() => return Err(Reason::Deadline),
+                Next::Unknown => return Err(Reason::Unknown),
+            }
+        }
+    }
+
+    fn overdue(&self) -> Reason {
+        match self.attempt.give_up() {
+            Next::RefuseNotRun => Reason::DeadlineNotRun,
+            _ => Reason::Deadline,
+        }
+    }
+
+    fn place(&self, only: Option<EndpointId>, now: Instant) -> Option<Registration> {
+        let view = &self.context.view;
+        let registration = |id: &EndpointId| {
+            view.fleet(|fleet| fleet.registration(id).filter(|found| fleet.takes_work(found, now)))
+        };
+        if let Some(found) = only.as_ref().and_then(registration) {
+            return Some(found);
+        }
+        let affinity = match self.route.kind.streams() {
+            true => self.arrival.facts.affinity(),
+            false => "",
+        };
+        let need = Need {
+            dc: &self.context.settings.dc,
+            affinity,
+            affinity_load: AFFINITY_LOAD,
+            avoid: self.attempt.refused_by(),
+        };
+        let choice = self
+            .context
+            .with_rng(|rng| view.fleet(|fleet| fleet.place(&self.service, &need, rng, now)));
+        choice.map(|choice| choice.registration)
+    }
+
+    async fn visit(
+        &mut self,
+        registration: Registration,
+        resume_after: Option<u64>,
+    ) -> Result<Head, Next> {
+        let visit = self.context.begin(&registration.id);
+        let now = Instant::now();
+        let idle = self.context.pool.take(&registration, now);
+        let mut link = match idle {
+            Some(link) => link,
+            None => {
+                let bound = millis(self.context.settings.limits.connect_timeout_ms);
+                match self.context.pool.open(&registration, bound.min(self.left(now))).await {
+                    Ok(link) => link,
+                    Err(error) => return Err(self.refused(&registration, &error.to_string())),
+                }
+            }
+        };
+        let order = match self.order(&registration, resume_after) {
+            Some(order) => order,
+            None => return Err(self.refused(&registration, "the request cannot be built")),
+        };
+        self.attempt.send();
+        match self.exchange(&mut link, order, &registration).await {
+            Ok(response) => self.check(response, link, registration, visit),
+            Err(upstream::Error::Unsent) => Err(self.attempt.unsent(&registration.id)),
+            Err(error) => Err(self.lost(&registration, &error.to_string()).await),
+        }
+    }
+
+    fn order(&self, registration: &Registration, resume_after: Option<u64>) -> Option<Order> {
+        let left = self.left(Instant::now());
+        let order = header::Order {
+            endpoint: &registration.id,
+            deadline: left,
+            priority: None,
+            resume_after: resume_after.or(self.arrival.facts.resume_after),
+        };
+        let mut request = Request::builder()
+            .method(self.arrival.method.clone())
+            .uri(self.arrival.uri.path_and_query()?.as_str())
+            .body(Full::new(self.arrival.body.clone()))
+            .ok()?;
+        *request.headers_mut() = header::forward(&self.arrival.headers, &order);
+        Some(request)
+    }
+
+    /// Waits for the head; a silent endpoint is asked for a connection now and then.
+    async fn exchange(
+        &self,
+        link: &mut Link,
+        order: Order,
+        registration: &Registration,
+    ) -> Result<Response<Incoming>, upstream::Error> {
+        let due = tokio::time::Instant::from_std(self.due());
+        let stall = millis(self.context.settings.limits.stall_ms);
+        let mut exchange = std::pin::pin!(link.send(order));
+        loop {
+            let check = due.min(tokio::time::Instant::now() + stall);
+            match timeout_at(check, exchange.as_mut()).await {
+                Ok(response) => return response,
+                Err(_) if check >= due => return Err(upstream::Error::Silent),
+                Err(_) => self.probe(registration).await.map_err(|_| upstream::Error::Silent)?,
+            }
+        }
+    }
+
+    /// Opens a connection to an endpoint that has been silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the endpoint takes no connection.
+    pub async fn probe(&self, registration: &Registration) -> Result<(), upstream::Error> {
+        let bound = millis(self.context.settings.limits.connect_timeout_ms);
+        upstream::connect(registration, bound).await.map(drop).map_err(upstream::Error::from)
+    }
+
+    fn check(
+        &mut self,
+        response: Response<Incoming>,
+        link: Link,
+        registration: Registration,
+        visit: Visit,
+    ) -> Result<Head, Next> {
+        let status = response.status().as_u16();
+        let headers = response.headers();
+        if !header::answers(headers, &self.arrival.facts.id) {
+            self.note(&registration, "the answer belongs to another request");
+            return Err(self.attempt.lose(&registration.id, Loss::Alive));
+        }
+        if header::not_run(status, headers) {
+            let now = Instant::now();
+            let view = &self.context.view;
+            match status {
+                421 => view.fleet(|fleet| fleet.fail(&registration.id, now)),
+                _ => view.fleet(|fleet| fleet.full(&registration.id, now)),
+            }
+            self.note(&registration, "the endpoint did not run the request");
+            return Err(self.attempt.refuse(&registration.id));
+        }
+        if !header::signed(headers) || header::encoded(headers) {
+            self.note(&registration, "the answer is not the endpoint's own");
+            return Err(self.attempt.lose(&registration.id, Loss::Alive));
+        }
+        self.context.view.fleet(|fleet| fleet.succeed(&registration.id));
+        Ok(Head { response, link, registration, visit })
+    }
+
+    fn refused(&mut self, registration: &Registration, why: &str) -> Next {
+        self.note(registration, why);
+        self.context.view.fleet(|fleet| fleet.fail(&registration.id, Instant::now()));
+        self.attempt.refuse(&registration.id)
+    }
+
+    /// Notes that an endpoint broke off and finds out whether it still lives.
+    pub async fn lost(&mut self, registration: &Registration, why: &str) -> Next {
+        self.note(registration, why);
+        if Instant::now() >= self.due() {
+            return self.attempt.lose(&registration.id, Loss::Alive);
+        }
+        let loss = match self.route.kind.idempotent() {
+            true if self.probe(registration).await.is_err() => Loss::Gone,
+            _ => Loss::Alive,
+        };
+        if loss == Loss::Gone {
+            self.context.view.fleet(|fleet| fleet.fail(&registration.id, Instant::now()));
+        }
+        self.attempt.lose(&registration.id, loss)
+    }
+
+    fn note(&self, registration: &Registration, why: &str) {
+        metrics::counter!("tries_failed_total").increment(1);
+        log::info!(
+            target: "try",
+            request = self.arrival.facts.id.as_str(),
+            endpoint = registration.id.as_str(),
+            age_ms = self.arrival.at.elapsed().as_millis() as u64;
+            "{why}"
+        );
+    }
+
+    /// Reads the whole answer before it is passed on, so that one that breaks off can be replaced.
+    async fn whole(&mut self, head: Head) -> Result<Response<Body>, Next> {
+        let Head { response, link, registration, visit } = head;
+        let (parts, body) = response.into_parts();
+        let due = tokio::time::Instant::from_std(self.due());
+        let collected = timeout_at(due, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
+        drop(visit);
+        match collected {
+            Ok(Ok(collected)) => {
+                let keep_alive = header::keep_alive(&parts.headers);
+                if !closes(&parts.headers) {
+                    self.context.pool.keep(link, keep_alive, Instant::now());
+                }
+                let mut answer = Response::new(answer::full(collected.to_bytes()));
+                *answer.status_mut() = parts.status;
+                *answer.headers_mut() = header::end_to_end(&parts.headers);
+                Ok(self.passed_on(answer))
+            }
+            Ok(Err(error)) => {
+                drop(link);
+                Err(self.lost(&registration, &error.to_string()).await)
+            }
+            Err(_) => {
+                drop(link);
+                Err(self.attempt.give_up())
+            }
+        }
+    }
+
+    /// Keeps statuses that promise "not run" for answers of which this is known.
+    fn passed_on(&self, answer: Response<Body>) -> Response<Body> {
+        match answer.status().as_u16() {
+            408 | 421 | 429 | 503 => self.own(Reason::Unknown, None),
+            _ => answer,
+        }
+    }
+
+    async fn stream(self, head: Head, reservation: Option<Reservation>) -> Response<Body> {
+        let event_tokens = {
+            let table = self.context.view.table();
+            let engine = table.and_then(|table| table.services.get(&self.service)?.engine);
+            engine.map_or(1, |engine| engine.event_tokens)
+        };
+        let mut relay = Relay::new(self, head, reservation, event_tokens);
+        // The head is passed on with the first event, so until then another try can replace it.
+        let first = match relay.next().await {
+            Some(Ok(bytes)) => Some(bytes),
+            Some(Err(reason)) => return relay.into_trip().give_up(reason),
+            None => None,
+        };
+        let (status, headers) = relay.head();
+        let rest = futures::stream::unfold(relay, |mut relay| async move {
+            let item = relay.next().await?;
+            let frame = item.map(Frame::data);
+            Some((frame.map_err(|reason| std::io::Error::other(reason.name())), relay))
+        });
+        let first = futures::stream::iter(first.map(|bytes| Ok(Frame::data(bytes))));
+        let body = StreamBody::new(futures::StreamExt::chain(first, rest));
+        let mut response = Response::new(BodyExt::boxed_unsync(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    fn own(&self, reason: Reason, retry_after: Option<Duration>) -> Response<Body> {
+        log::info!(
+            target: "answer",
+            request = self.arrival.facts.id.as_str(),
+            program = self.arrival.facts.program.as_deref().unwrap_or_default(),
+            route = self.route.name.as_str(),
+            reason = reason.name(),
+            age_ms = self.arrival.at.elapsed().as_millis() as u64,
+            tries = self.attempt.refused_by().len();
+            "the daemon answers itself"
+        );
+        answer::own(reason, &self.arrival.facts.id, retry_after)
+    }
+
+    fn give_up(&self, reason: Reason) -> Response<Body> {
+        let retry_after = match reason {
+            Reason::NoEndpoint => self.context.retry_after(RETRY_NO_ENDPOINT),
+            Reason::DeadlineNotRun => self.context.retry_after(RETRY_ELSEWHERE),
+            _ => None,
+        };
+        self.own(reason, retry_after)
+    }
+}
+
+/// Tells whether an endpoint closes the connection after this answer.
+pub fn closes(headers: &HeaderMap) -> bool {
+    let value = headers.get(http::header::CONNECTION).and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.eq_ignore_ascii_case("close"))
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! The gateway: routes clients' requests to endpoints.
+//!
+//! A gateway daemon takes HTTP requests from clients, selects a route by host and path and a service
+//! by the route, and forwards each request to one endpoint of the service. The decisions are those
+//! of `sched`; this package carries them out:
+//!
+//! * [`ingress`] takes clients' connections and turns requests into answers;
+//! * [`forward`] drives one request through its tries, [`relay`] passes a stream on and resumes it;
+//! * [`upstream`] holds the connections to endpoints;
+//! * [`view`] is what the daemon believes of the configuration, the endpoints and its peers;
+//! * [`follow`] keeps the view up to date from the key-value service, and from peers when the
+//!   service turns this daemon away;
+//! * [`desk`] reserves tokens of programs' budgets at their owners;
+//! * [`probes`] answers readiness and metrics, [`daemon`] starts and stops the parts.
+//!
+//! One thread runs the control tasks, another the traffic; they share the view and the ledgers
+//! behind locks that are held for a decision only.
+
+pub mod answer;
+pub mod daemon;
+pub mod desk;
+pub mod follow;
+pub mod forward;
+pub mod ingress;
+pub mod members;
+pub mod peers;
+pub mod probes;
+pub mod relay;
+pub mod settings;
+pub mod storage;
+pub mod upstream;
+pub mod view;
--- /dev/null
+++ b/crates/gateway/src/members.rs
@@ -0,0 +1,72 @@
+//! Membership of the gateway daemons.
+//!
+//! Each daemon keeps a key under a lease in the key-value service. The owner of a program's budget is
+//! the member with the highest hash of the pair; a member that cannot be reached is passed over for
+//! a while, so the next one in that order takes its place.
+
+use compact_str::{CompactString, format_compact};
+use indexmap::IndexMap;
+use peer::gateway::Member;
+use sched::id::VmId;
+use sched::members;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Prefix of the members' keys.
+///
+/// It shares its first letter with the endpoints' registrations, so one watch covers both.
+pub const PREFIX: &str = "scheduler/member/";
+/// Prefix of the programs' durable budget records.
+pub const RECORDS: &str = "budget/";
+/// Time for which a member that could not be reached is passed over.
+const SUSPECT_FOR: Duration = Duration::from_secs(2);
+
+/// Key of a member.
+pub fn key(vm: &str) -> CompactString {
+    format_compact!("{PREFIX}{vm}")
+}
+
+/// Key of a program's durable budget record.
+pub fn record_key(program: &str) -> CompactString {
+    format_compact!("{RECORDS}{program}")
+}
+
+/// Members that could not be reached lately.
+#[derive(Default)]
+pub struct Suspects(Mutex<IndexMap<VmId, Instant>>);
+
+impl Suspects {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<VmId, Instant>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a member could not be reached.
+    pub fn suspect(&self, vm: &str, now: Instant) {
+        self.lock().insert(vm.into(), now + SUSPECT_FOR);
+    }
+
+    /// Notes that a member answered.
+    pub fn clear(&self, vm: &str) {
+        self.lock().swap_remove(vm);
+    }
+
+    /// Tells whether a member is passed over.
+    pub fn contains(&self, vm: &str, now: Instant) -> bool {
+        self.lock().get(vm).is_some_and(|until| now < *until)
+    }
+}
+
+/// The owner of `program` among `live`, and whether it is the first in its order.
+pub fn owner<'a>(
+    program: &str,
+    live: &'a IndexMap<VmId, Member>,
+    suspects: &Suspects,
+    now: Instant,
+) -> Option<(&'a Member, bool)> {
+    let first = live.values().max_by_key(|member| members::weight(&program, &member.vm))?;
+    if !suspects.contains(&first.vm, now) {
+        return Some((first, true));
+    }
+    let others = live.values().filter(|member| !suspects.contains(&member.vm, now));
+    others.max_by_key(|member| members::weight(&program, &member.vm)).map(|member| (member, false))
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,66 @@
+//! Answers to other gateways.
+
+use crate::desk::Desk;
+use crate::members;
+use crate::view::View;
+use peer::gateway::{Answer, Ask};
+use peer::server::Outbox;
+use peer::wire::{Reply, Request};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time after which an asker is told that its answer waits for the platform.
+const PENDING_AFTER: Duration = Duration::from_millis(30);
+/// Interval at which a quiet view is sent again, so that the follower knows that it is followed.
+const FOLLOW_BEAT: Duration = Duration::from_secs(2);
+
+/// Answers one question.
+pub fn take(request: Request, outbox: Outbox, desk: &Arc<Desk>, view: &Arc<View>) {
+    let Request::Gateway(ask) = request else {
+        log::warn!(target: "peers", "a daemon of another kind asks this gateway");
+        return;
+    };
+    match *ask {
+        Ask::Reserve(ask) => {
+            let (desk, view) = (desk.clone(), view.clone());
+            tokio::spawn(async move {
+                let first = view.with_members(|live| {
+                    let none = members::Suspects::default();
+                    let owner =
+                        members::owner(&ask.program, live, &none, std::time::Instant::now());
+                    owner.is_some_and(|(owner, _)| owner.vm == *desk.vm())
+                });
+                let mut decision = std::pin::pin!(desk.decide(&ask, first));
+                let granted = match timeout(PENDING_AFTER, decision.as_mut()).await {
+                    Ok(granted) => granted,
+                    Err(_) => {
+                        // An asker that has gone settles with its next reservation.
+                        let _ = outbox.send(Reply::Gateway(Answer::Pending)).await;
+                        decision.await
+                    }
+                };
+                let _ = outbox.send(Reply::Gateway(Answer::Reserved(granted))).await;
+            });
+        }
+        Ask::Settle(settlement) => desk.settle(&settlement),
+        Ask::Follow { version } => {
+            tokio::spawn(follow(version, outbox, view.clone()));
+        }
+    }
+}
+
+async fn follow(mut version: Option<u64>, outbox: Outbox, view: Arc<View>) {
+    let mut changes = view.subscribe();
+    loop {
+        changes.mark_unchanged();
+        let exported = view.export(version);
+        version = exported.table.as_ref().map(|table| table.version).or(version);
+        let answer = Answer::View(Box::new(exported));
+        if outbox.send(Reply::Gateway(answer)).await.is_err() {
+            return;
+        }
+        // A quiet wait ends in a beat.
+        let _ = timeout(FOLLOW_BEAT, changes.changed()).await;
+    }
+}
--- /dev/null
+++ b/crates/peer/src/gateway.rs
@@ -0,0 +1,72 @@
+//! Messages between gateway daemons.
+
+use compact_str::CompactString;
+use sched::fleet::Registration;
+use sched::id::{DcId, ProgramId, RequestId, Tokens, Version, VmId};
+use sched::route::Table;
+use sched::spend;
+use serde::{Deserialize, Serialize};
+
+/// A live gateway daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub dc: DcId,
+    /// Address for peers.
+    pub addr: CompactString,
+    /// Number of its process.
+    pub incarnation: u64,
+}
+
+/// What a gateway daemon believes of the configuration, the endpoints and its peers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct View {
+    /// The configuration, where the asker has an older one.
+    pub table: Option<Table>,
+    /// Registered endpoints.
+    pub registrations: Vec<Registration>,
+    /// Live daemons.
+    pub members: Vec<Member>,
+    /// Revision of the key-value service up to which this holds.
+    pub revision: u64,
+}
+
+/// End of a turn, for the owner of its program's budget.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settlement {
+    /// The program.
+    pub program: ProgramId,
+    /// The turn's request.
+    pub request: RequestId,
+    /// Daemon that served the turn.
+    pub daemon: VmId,
+    /// Tokens that this daemon has handed out to the program so far.
+    pub handed_out: Tokens,
+}
+
+/// A question of one gateway to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Ask {
+    /// Reserves a turn of a program at the owner of its budget.
+    Reserve(spend::Ask),
+    /// Settles a turn at the owner of its program's budget; not answered.
+    Settle(Settlement),
+    /// Asks for the view, now and whenever it changes.
+    Follow {
+        /// Version of the configuration that the asker has.
+        version: Option<Version>,
+    },
+}
+
+/// An answer of a gateway.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Answer {
+    /// The owner lives and waits for the platform; [`Answer::Reserved`] follows.
+    Pending,
+    /// Whether a turn may run; `None` when the owner cannot tell.
+    Reserved(Option<bool>),
+    /// The view.
+    View(Box<View>),
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 mod auth;
 pub mod client;
 mod frame;
+pub mod gateway;
 pub mod server;
 pub mod wire;
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -1,5 +1,6 @@
 //! Messages between daemons.
 
+use crate::gateway;
 use compact_str::CompactString;
 use sched::call::{Call, Outcome};
 use sched::id::{
@@ -264,6 +265,8 @@
     Report(Report),
     /// A question of the operators.
     Query(Query),
+    /// A question of a gateway.
+    Gateway(Box<gateway::Ask>),
 }
 
 /// A frame of an answer.
@@ -303,4 +306,6 @@
     Moved,
     /// Answer to a query.
     Answer(Box<Answer>),
+    /// Answer of a gateway.
+    Gateway(gateway::Answer),
 }
--- /dev/null
+++ b/crates/sched/src/attempt.rs
@@ -0,0 +1,162 @@
+//! A request's life between its arrival and its answer.
+//!
+//! [`Attempt`] is the one place that knows whether a request may have run. It moves from
+//! [`Progress::NotRun`] to [`Progress::Sent`] when its bytes may leave, back when the endpoint says
+//! that it did not run it, and to [`Progress::MayHaveRun`] when no answer came. From there only an
+//! idempotent request goes on, and not on more endpoints than its route allows; an endpoint that is
+//! gone does not count.
+
+use crate::id::EndpointId;
+use crate::route::Kind;
+use std::time::Duration;
+
+/// Endpoints that are asked at most while none of them runs the request.
+const MAX_REFUSALS: usize = 8;
+/// Connections that may turn out to be closed before the request leaves.
+const MAX_STALE: u32 = 16;
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// No endpoint has run it, and none will.
+    NotRun,
+    /// It is at an endpoint.
+    Sent,
+    /// An endpoint may have run it.
+    MayHaveRun,
+}
+
+/// What to do after a try.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Try an endpoint that has not refused it.
+    Anywhere,
+    /// Try the endpoint that may have run it, and no other.
+    Same(EndpointId),
+    /// Give up: the request has not run.
+    RefuseNotRun,
+    /// Give up: the request may have run.
+    Unknown,
+}
+
+/// Why a try ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// The endpoint still takes connections.
+    Alive,
+    /// The endpoint cannot be reached any more.
+    Gone,
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    kind: Kind,
+    max_attempts: u32,
+    progress: Progress,
+    refused: Vec<EndpointId>,
+    stale: u32,
+    /// Endpoints that may have run it and still live.
+    ran: Vec<EndpointId>,
+}
+
+impl Attempt {
+    /// Starts with a request that has arrived.
+    pub fn new(kind: Kind, max_attempts: u32) -> Self {
+        Self {
+            kind,
+            max_attempts,
+            progress: Progress::NotRun,
+            refused: Vec::new(),
+            stale: 0,
+            ran: Vec::new(),
+        }
+    }
+
+    /// How far the request has come.
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// Endpoints that refused it, which are not asked again.
+    pub fn refused_by(&self) -> &[EndpointId] {
+        &self.refused
+    }
+
+    /// Notes that bytes of the request may leave for an endpoint.
+    pub fn send(&mut self) {
+        if self.progress == Progress::NotRun {
+            self.progress = Progress::Sent;
+        }
+    }
+
+    /// Notes that the endpoint did not run the request, or that no byte left.
+    pub fn refuse(&mut self, endpoint: &EndpointId) -> Next {
+        if self.progress == Progress::Sent {
+            self.progress = Progress::NotRun;
+        }
+        self.refused.push(endpoint.clone());
+        self.ran.retain(|ran| ran != endpoint);
+        match (self.refused.len() < MAX_REFUSALS, self.progress) {
+            (true, Progress::MayHaveRun) => self.again(),
+            (true, _) => Next::Anywhere,
+            (false, Progress::MayHaveRun) => Next::Unknown,
+            (false, _) => Next::RefuseNotRun,
+        }
+    }
+
+    /// Notes that a kept connection was closed before a byte left, which says nothing of its endpoint.
+    pub fn unsent(&mut self, endpoint: &EndpointId) -> Next {
+        self.stale += 1;
+        if self.stale > MAX_STALE {
+            return self.refuse(endpoint);
+        }
+        if self.progress == Progress::Sent {
+            self.progress = Progress::NotRun;
+        }
+        match self.progress {
+            Progress::MayHaveRun => self.again(),
+            _ => Next::Anywhere,
+        }
+    }
+
+    /// Notes that no whole answer came from the endpoint.
+    pub fn lose(&mut self, endpoint: &EndpointId, loss: Loss) -> Next {
+        self.progress = Progress::MayHaveRun;
+        self.ran.retain(|ran| ran != endpoint);
+        match loss {
+            Loss::Alive => self.ran.push(endpoint.clone()),
+            Loss::Gone => self.refused.push(endpoint.clone()),
+        }
+        if self.refused.len() >= MAX_REFUSALS {
+            return Next::Unknown;
+        }
+        self.again()
+    }
+
+    fn again(&self) -> Next {
+        if !self.kind.idempotent() {
+            return Next::Unknown;
+        }
+        match self.ran.last() {
+            Some(last) if self.ran.len() >= self.max_attempts as usize => Next::Same(last.clone()),
+            _ => Next::Anywhere,
+        }
+    }
+
+    /// Tells which final answer fits a request that is given up now.
+    pub fn give_up(&self) -> Next {
+        match self.progress {
+            Progress::NotRun => Next::RefuseNotRun,
+            Progress::Sent | Progress::MayHaveRun => Next::Unknown,
+        }
+    }
+}
+
+/// Time after which a request is worth sending again when no endpoint was left to take it.
+///
+/// The delay is spread over its second half, so that clients who were refused together do not come
+/// back together.
+pub fn retry_after(expected: Duration, rng: &mut fastrand::Rng) -> Duration {
+    expected.mul_f64(0.75 + rng.f64() * 0.5)
+}
--- a/crates/sched/src/id.rs
+++ b/crates/sched/src/id.rs
@@ -18,10 +18,14 @@
 pub type PoolId = CompactString;
 /// Name of a program: its log's number, a hyphen, and a number unique within the log.
 pub type ProgramId = CompactString;
+/// Name of one attempt of a client's request.
+pub type RequestId = CompactString;
 /// Number of an answer's run; a run that starts from the beginning gets another number.
 pub type Run = u64;
 /// Position of a call in its program, from 1.
 pub type Seq = u32;
+/// Name of a service: endpoints that do the same work behind routes.
+pub type ServiceId = CompactString;
 /// Name of a team.
 pub type TeamId = CompactString;
 /// Count of generated tokens.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,10 +7,13 @@
 //! * [`config`] is the operators' configuration, replayed from its numbered changes;
 //! * [`grant`] is the account ledger that several logs draw from;
 //! * [`queue`], [`place`], [`predict`] and [`health`] choose which call runs next, and where;
+//! * [`route`], [`request`], [`fleet`] and [`spend`] serve requests that are routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons.
 
+pub mod attempt;
 pub mod call;
 pub mod config;
+pub mod fleet;
 pub mod grant;
 pub mod health;
 pub mod id;
@@ -22,3 +25,6 @@
 pub mod queue;
 pub mod record;
 pub mod refusal;
+pub mod request;
+pub mod route;
+pub mod spend;
--- /dev/null
+++ b/crates/sched/src/spend.rs
@@ -0,0 +1,291 @@
+//! Budgets of programs whose turns arrive through many daemons.
+//!
+//! Each program has an owner among the live daemons, the one with the highest hash of the pair. A
+//! daemon that serves a turn reserves the turn's longest answer at the owner and settles what was
+//! really handed out. Three things bound what a program may overspend when daemons are lost:
+//!
+//! * every reservation repeats what the serving daemon itself has handed out to the program, so an
+//!   owner that takes over learns the counts of all daemons that still live;
+//! * beyond a free share of its budget a program spends only what was drawn from a durable record
+//!   by compare-and-swap, so most programs cost no write and a program that spends much is known to
+//!   every later owner;
+//! * an owner that has not been there from the start charges an unknown program the free share, the
+//!   most that can have been spent without a record.
+//!
+//! What is known to be spent or reserved is counted in full. A charge is a bound that few programs
+//! reach, so turns beside it are counted by what they are expected to hand out; otherwise every
+//! program that goes on after a loss would be refused.
+
+use crate::id::{ProgramId, RequestId, Tokens, VmId};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+
+/// Share of a budget that is spent without a durable record.
+///
+/// Programs that end by themselves rarely spend as much, so few of them ever draw.
+const FREE_SHARE: f64 = 0.5;
+/// Part of its most that a turn is expected to hand out.
+const EXPECTED_PART: Tokens = 2;
+/// Share of a budget that one draw from the record takes at least.
+const DRAW_SHARE: f64 = 0.2;
+/// Time after which a reservation that was never settled is charged in full; its daemon is gone.
+const RESERVATION_LIFE: Duration = Duration::from_secs(15);
+
+/// The durable part of a program's budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The program's budget.
+    pub budget: Tokens,
+    /// Tokens drawn by all owners, the free share included.
+    pub drawn: Tokens,
+    /// Time after which the record may be deleted, in milliseconds since the Unix epoch.
+    pub keep_until_ms: u64,
+}
+
+/// A turn that asks to be run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The program.
+    pub program: ProgramId,
+    /// Its budget.
+    pub budget: Tokens,
+    /// The turn's request.
+    pub request: RequestId,
+    /// Most tokens that the turn may generate.
+    pub most: Tokens,
+    /// Daemon that serves the turn.
+    pub daemon: VmId,
+    /// Tokens that this daemon has handed out to the program so far.
+    pub handed_out: Tokens,
+    /// Time for which a program that spent its budget stays stopped.
+    pub retention: Duration,
+}
+
+/// What becomes of a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is reserved and may run.
+    Granted,
+    /// The budget did not hold an earlier turn.
+    Exhausted,
+    /// The budget does not hold it, which is to be recorded.
+    Stop,
+    /// More must be drawn from the durable record first.
+    Draw {
+        /// Tokens to add to the record's.
+        tokens: Tokens,
+    },
+}
+
+/// What an owner knows of a program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// The program's budget.
+    pub budget: Tokens,
+    /// Tokens known to be handed out.
+    pub known: Tokens,
+    /// Most tokens of the turns under way.
+    pub reserved: Tokens,
+    /// Tokens that may have been spent before the owner knew the program.
+    pub assumed: Tokens,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    most: Tokens,
+    since: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    budget: Tokens,
+    /// Tokens that may have been spent before this owner knew the program.
+    assumed: Tokens,
+    /// Whether `assumed` comes from a durable record.
+    recorded: bool,
+    /// Tokens handed out by each daemon.
+    handed_out: IndexMap<VmId, Tokens>,
+    reservations: IndexMap<RequestId, Reservation>,
+    /// Tokens that may be known to be spent without a further draw.
+    allowed: Tokens,
+    /// Whether a turn was refused, which ends the program.
+    stopped: bool,
+    used: Instant,
+    retention: Duration,
+}
+
+impl Account {
+    /// Tokens that are known to be handed out.
+    fn known(&self) -> Tokens {
+        self.handed_out.values().sum()
+    }
+
+    fn reserved(&self) -> Tokens {
+        self.reservations.values().map(|reservation| reservation.most).sum()
+    }
+
+    /// Notes what a daemon has handed out; what it did before this owner knew the program is part of
+    /// what was assumed.
+    fn declare(&mut self, daemon: &str, handed_out: Tokens) {
+        if let Some(counted) = self.handed_out.get_mut(daemon) {
+            *counted = (*counted).max(handed_out);
+            return;
+        }
+        if !self.recorded {
+            self.assumed = self.assumed.saturating_sub(handed_out);
+        }
+        self.handed_out.insert(daemon.into(), handed_out);
+    }
+
+    /// Charges reservations whose daemon is gone: their turns may have handed out their most.
+    fn charge_overdue(&mut self, now: Instant) {
+        let overdue = |held: &Reservation| now.duration_since(held.since) >= RESERVATION_LIFE;
+        let lost: Tokens =
+            self.reservations.values().filter(|held| overdue(held)).map(|held| held.most).sum();
+        self.assumed += lost;
+        self.reservations.retain(|_, held| !overdue(held));
+    }
+}
+
+fn share(budget: Tokens, share: f64) -> Tokens {
+    (budget as f64 * share) as Tokens
+}
+
+/// Accounts of the programs that this daemon owns.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    accounts: IndexMap<ProgramId, Account>,
+    records: IndexMap<ProgramId, Record>,
+}
+
+impl Ledger {
+    /// Takes in durable records, as read from the platform.
+    pub fn learn(&mut self, records: impl IntoIterator<Item = (ProgramId, Record)>) {
+        for (program, record) in records {
+            self.raise(&program, record);
+        }
+    }
+
+    /// Decides on a turn.
+    ///
+    /// `fresh` tells that this daemon has owned the program's share since before any program began.
+    pub fn reserve(&mut self, ask: &Ask, fresh: bool, now: Instant) -> Verdict {
+        let record = self.records.get(&ask.program).copied();
+        let account = self.accounts.entry(ask.program.clone()).or_insert_with(|| {
+            let free = share(ask.budget, FREE_SHARE);
+            let assumed = match record {
+                Some(record) => record.drawn,
+                None if fresh => 0,
+                None => free,
+            };
+            Account {
+                budget: ask.budget,
+                assumed,
+                recorded: record.is_some(),
+                handed_out: IndexMap::new(),
+                reservations: IndexMap::new(),
+                allowed: free,
+                stopped: record.is_some_and(|record| record.drawn >= record.budget),
+                used: now,
+                retention: ask.retention,
+            }
+        });
+        account.used = now;
+        account.charge_overdue(now);
+        account.declare(&ask.daemon, ask.handed_out);
+        let open = account.reserved() + ask.most;
+        let known = account.known() + open;
+        let charged = account.assumed + account.known() + open / EXPECTED_PART;
+        if account.stopped {
+            return Verdict::Exhausted;
+        }
+        if known > account.budget || charged > account.budget {
+            account.stopped = true;
+            return Verdict::Stop;
+        }
+        let needed = account.known() + open / EXPECTED_PART;
+        if needed > account.allowed {
+            let tokens = (needed - account.allowed).max(share(account.budget, DRAW_SHARE));
+            return Verdict::Draw { tokens: tokens.min(account.budget - account.allowed) };
+        }
+        let reservation = Reservation { most: ask.most, since: now };
+        account.reservations.insert(ask.request.clone(), reservation);
+        Verdict::Granted
+    }
+
+    /// Computes the record that follows `found` when `tokens` more are drawn for `program`.
+    ///
+    /// Returns `None` when other owners have drawn the budget already.
+    pub fn drawn(
+        &self,
+        ask: &Ask,
+        found: Option<Record>,
+        tokens: Tokens,
+        now_ms: u64,
+    ) -> Option<Record> {
+        let before = found.map_or(share(ask.budget, FREE_SHARE), |record| record.drawn);
+        let drawn = before + tokens;
+        let keep_until_ms = now_ms + ask.retention.as_millis() as u64;
+        (drawn <= ask.budget).then_some(Record { budget: ask.budget, drawn, keep_until_ms })
+    }
+
+    /// Tells whether the owner knows a program already.
+    pub fn knows(&self, program: &str) -> bool {
+        self.accounts.contains_key(program)
+    }
+
+    /// Notes a draw of `tokens` that is durable.
+    pub fn draw(&mut self, program: &str, tokens: Tokens) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.allowed = (account.allowed + tokens).min(account.budget);
+        }
+    }
+
+    /// Notes that the record leaves nothing to draw.
+    pub fn exhaust(&mut self, program: &str) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.stopped = true;
+        }
+    }
+
+    /// What is known of a program, for a log line.
+    pub fn explain(&self, program: &str) -> Option<Standing> {
+        let account = self.accounts.get(program)?;
+        Some(Standing {
+            budget: account.budget,
+            known: account.known(),
+            reserved: account.reserved(),
+            assumed: account.assumed,
+        })
+    }
+
+    /// Settles a turn: `daemon` has handed out `handed_out` tokens to the program in all.
+    pub fn settle(&mut self, program: &str, request: &str, daemon: &str, handed_out: Tokens) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.reservations.swap_remove(request);
+            account.declare(daemon, handed_out);
+        }
+    }
+
+    /// Drops programs that have been quiet for longer than their retention.
+    pub fn sweep(&mut self, now: Instant) {
+        self.accounts.retain(|_, account| now.duration_since(account.used) <= account.retention);
+    }
+
+    /// Number of programs.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Tells whether no program is known.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    fn raise(&mut self, program: &str, record: Record) {
+        let known = self.records.entry(program.into()).or_insert(record);
+        known.drawn = known.drawn.max(record.drawn);
+        known.keep_until_ms = known.keep_until_ms.max(record.keep_until_ms);
+    }
+}
--- a/crates/testing/src/kv.rs
+++ b/crates/testing/src/kv.rs
@@ -1,4 +1,4 @@
-//! Stand-in for the key-value service: ranges, guarded writes, leases and watches.
+//! Stand-in for the key-value service: pages, guarded transactions, leases and waiting watches.
 //!
 //! Rates, latency and the value limit are enforced. Each call counts, a waiting watch too.
 
@@ -8,8 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use rocket::data::{Data, ToByteUnit};
 use rocket::http::{ContentType, Status};
-use rocket::response::stream::ByteStream;
-use rocket::{State, post, routes};
+use rocket::{State, delete, get, post, routes};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -21,6 +20,14 @@
 const MAX_VALUE_BYTES: usize = 1 << 20;
 /// Changes kept for watches.
 const HISTORY: usize = 20_000;
+/// Most items of one page.
+const PAGE_ITEMS: usize = 500;
+/// Most bytes of one page's values.
+const PAGE_BYTES: usize = 1 << 20;
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+/// Interval at which a waiting watch looks whether the service went down.
+const FAULT_CHECK: Duration = Duration::from_millis(500);
 /// Interval of the check for lapsed leases.
 const LEASE_CHECK: Duration = Duration::from_millis(50);
 
@@ -45,12 +52,13 @@
 struct Item {
     value: Vec<u8>,
     revision: u64,
+    created: u64,
     lease: u64,
 }
 
 struct Change {
     revision: u64,
-    key: Vec<u8>,
+    key: String,
     item: Option<Item>,
 }
 
@@ -85,7 +93,7 @@
 
 struct Store {
     revision: u64,
-    items: BTreeMap<Vec<u8>, Item>,
+    items: BTreeMap<String, Item>,
     history: VecDeque<Change>,
     leases: BTreeMap<u64, Lease>,
     next_lease: u64,
@@ -95,21 +103,22 @@
 }
 
 impl Store {
-    fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: u64) {
+    fn put(&mut self, key: String, value: Vec<u8>, lease: u64) {
         self.revision += 1;
-        let item = Item { value, revision: self.revision, lease };
+        let created = self.items.get(&key).map_or(self.revision, |item| item.created);
+        let item = Item { value, revision: self.revision, created, lease };
         self.items.insert(key.clone(), item.clone());
         self.log(key, Some(item));
     }
 
-    fn delete(&mut self, key: &[u8]) {
+    fn delete(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            self.log(key.to_vec(), None);
+            self.log(key.to_owned(), None);
         }
     }
 
-    fn log(&mut self, key: Vec<u8>, item: Option<Item>) {
+    fn log(&mut self, key: String, item: Option<Item>) {
         self.history.push_back(Change { revision: self.revision, key, item });
         if self.history.len() > HISTORY {
             self.history.pop_front();
@@ -126,7 +135,7 @@
 
     fn revoke(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let keys: Vec<Vec<u8>> =
+        let keys: Vec<String> =
             self.items.iter().filter(|(_, i)| i.lease == lease).map(|(k, _)| k.clone()).collect();
         for key in keys {
             self.delete(&key);
@@ -196,8 +205,8 @@
             counts: counts.clone(),
         });
         tokio::spawn(expire_leases(shared.clone()));
-        let routes = routes![range, txn, delete_range, grant, keep_alive, revoke, open_watch];
-        let server = net::launch(|rocket| rocket.manage(shared).mount("/v3", routes)).await;
+        let routes = routes![key, range, txn, grant, keep_alive, revoke, changes];
+        let server = net::launch(|rocket| rocket.manage(shared).mount("/api", routes)).await;
         Self { server, counts }
     }
 
@@ -227,23 +236,31 @@
     serde_json::from_slice(&bytes).map_err(|_| Status::BadRequest)
 }
 
-fn bytes(value: &Value) -> Vec<u8> {
-    STANDARD.decode(value.as_str().unwrap_or_default()).unwrap_or_default()
+fn list<'a>(body: &'a Value, name: &str) -> &'a [Value] {
+    body[name].as_array().map_or(&[], Vec::as_slice)
 }
 
-fn number(value: &Value) -> u64 {
-    value.as_str().and_then(|text| text.parse().ok()).or(value.as_u64()).unwrap_or_default()
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or_default()
 }
 
-fn kv_json(key: &[u8], item: &Item) -> Value {
+fn item_json(key: &str, item: &Item) -> Value {
     json!({
-        "key": STANDARD.encode(key),
+        "key": key,
         "value": STANDARD.encode(&item.value),
-        "mod_revision": item.revision.to_string(),
-        "lease": item.lease.to_string(),
+        "revision": item.revision,
+        "created_rev": item.created,
+        "lease": item.lease,
     })
 }
 
+fn change_json(change: &Change) -> Value {
+    match &change.item {
+        Some(item) => item_json(&change.key, item),
+        None => json!({ "key": change.key, "revision": change.revision, "deleted": true }),
+    }
+}
+
 async fn admit(app: &Shared, write: bool) -> Result<(), Status> {
     let faults = app.faults.kv();
     tokio::time::sleep(app.latency + faults.delay).await;
@@ -271,169 +288,152 @@
     every > 0 && store.written.is_multiple_of(every)
 }
 
-#[post("/kv/range", data = "<body>")]
-async fn range(app: &App, body: Data<'_>) -> Answer {
-    let body = read_body(body).await?;
+#[get("/kv-key?<key>")]
+async fn key(app: &App, key: &str) -> Answer {
     admit(app, false).await?;
-    let (key, end) = (bytes(&body["key"]), bytes(&body["range_end"]));
-    let limit = match number(&body["limit"]) {
-        0 => usize::MAX,
-        limit => limit as usize,
-    };
     let store = app.lock();
-    let found: Vec<Value> = match end.is_empty() {
-        true => store.items.get(&key).map(|item| kv_json(&key, item)).into_iter().collect(),
-        false => store.items.range(key..end).take(limit + 1).map(|(k, i)| kv_json(k, i)).collect(),
-    };
-    let more = found.len() > limit;
-    let kvs: Vec<Value> = found.into_iter().take(limit).collect();
-    let header = json!({ "revision": store.revision.to_string() });
-    answer(&json!({ "header": header, "kvs": kvs, "more": more }))
+    let item = store.items.get(key).ok_or(Status::NotFound)?;
+    answer(&item_json(key, item))
+}
+
+#[get("/kv-range?<path_prefix>&<after>")]
+async fn range(app: &App, path_prefix: Option<&str>, after: Option<&str>) -> Answer {
+    admit(app, false).await?;
+    let prefix = path_prefix.unwrap_or_default();
+    let after = after.unwrap_or_default();
+    let store = app.lock();
+    let from = prefix.max(after).to_owned();
+    let mut found = store.items.range(from..).filter(|(key, _)| key.as_str() > after);
+    let mut items = Vec::new();
+    let mut bytes = 0;
+    let mut has_more = false;
+    for (key, item) in found.by_ref().take_while(|(key, _)| key.starts_with(prefix)) {
+        if items.len() == PAGE_ITEMS || bytes > PAGE_BYTES {
+            has_more = true;
+            break;
+        }
+        bytes += item.value.len();
+        items.push(item_json(key, item));
+    }
+    answer(&json!({ "items": items, "has_more": has_more, "store_revision": store.revision }))
 }
 
-#[post("/kv/txn", data = "<body>")]
+/// Tells which status keeps a transaction from taking effect.
+fn refusal(store: &Store, body: &Value) -> Option<Status> {
+    let guards = list(body, "expected_rev");
+    let held = guards.iter().all(|guard| {
+        let found = store.items.get(text(&guard["key"])).map_or(0, |item| item.revision);
+        Some(found) == guard["revision"].as_u64()
+    });
+    if !held {
+        return Some(Status::PreconditionFailed);
+    }
+    let leases = list(body, "puts").iter().filter_map(|put| put["lease"].as_u64());
+    let known = leases.filter(|lease| *lease != 0).all(|lease| store.leases.contains_key(&lease));
+    (!known).then_some(Status::NotFound)
+}
+
+#[post("/kv-txn", data = "<body>")]
 async fn txn(app: &App, body: Data<'_>) -> Answer {
     let body = read_body(body).await?;
     admit(app, true).await?;
-    let compare = &body["compare"][0];
-    let key = bytes(&compare["key"]);
-    let expected = number(&compare["mod_revision"]);
-    let success = &body["success"][0];
-    let put = &success["requestPut"];
-    let value = bytes(&put["value"]);
-    if value.len() > MAX_VALUE_BYTES {
+    let puts: Vec<(String, Vec<u8>, u64)> = list(&body, "puts")
+        .iter()
+        .map(|put| {
+            let value = STANDARD.decode(text(&put["value"])).unwrap_or_default();
+            (text(&put["key"]).to_owned(), value, put["lease"].as_u64().unwrap_or_default())
+        })
+        .collect();
+    if puts.iter().any(|(_, value, _)| value.len() > MAX_VALUE_BYTES) {
         return Err(Status::PayloadTooLarge);
     }
-    let (succeeded, revision) = {
+    let revision = {
         let mut store = app.lock();
-        let found = store.items.get(&key).cloned();
-        let succeeded = found.as_ref().map_or(0, |item| item.revision) == expected;
-        if succeeded && put.is_object() {
-            let kept = found.map_or(0, |item| item.lease);
-            let keep = put["ignore_lease"].as_bool().unwrap_or_default();
-            let lease = if keep { kept } else { number(&put["lease"]) };
-            if lease != 0 && !store.leases.contains_key(&lease) {
-                return Err(Status::BadRequest);
-            }
+        if let Some(status) = refusal(&store, &body) {
+            return Err(status);
+        }
+        for (key, value, lease) in puts {
             app.counts.bytes.fetch_add(value.len() as u64, Ordering::Relaxed);
             store.put(key, value, lease);
-        } else if succeeded {
-            store.delete(&key);
         }
-        (succeeded, store.revision)
+        for key in list(&body, "remove") {
+            store.delete(text(key));
+        }
+        store.revision
     };
     app.wake();
     if answer_lost(app) {
         return Err(Status::GatewayTimeout);
     }
-    answer(&json!({ "header": { "revision": revision.to_string() }, "succeeded": succeeded }))
+    answer(&json!({ "revision": revision }))
 }
 
-#[post("/kv/deleterange", data = "<body>")]
-async fn delete_range(app: &App, body: Data<'_>) -> Answer {
-    let body = read_body(body).await?;
-    admit(app, true).await?;
-    let (from, end) = (bytes(&body["key"]), bytes(&body["range_end"]));
-    {
-        let mut store = app.lock();
-        let keys: Vec<Vec<u8>> = store.items.range(from..end).map(|(k, _)| k.clone()).collect();
-        for key in keys {
-            store.delete(&key);
-        }
-    }
-    app.wake();
-    answer(&json!({}))
-}
-
-#[post("/lease/grant", data = "<body>")]
+#[post("/kv-lease", data = "<body>")]
 async fn grant(app: &App, body: Data<'_>) -> Answer {
     let body = read_body(body).await?;
     admit(app, true).await?;
-    let ttl = Duration::from_secs(number(&body["TTL"]));
+    let ttl = Duration::from_millis(body["ttl_ms"].as_u64().ok_or(Status::BadRequest)?);
     let mut store = app.lock();
     store.next_lease += 1;
     let id = store.next_lease;
     store.leases.insert(id, Lease { ttl, expires: Instant::now() + ttl });
-    answer(&json!({ "ID": id.to_string(), "TTL": ttl.as_secs().to_string() }))
+    answer(&json!({ "lease": id, "ttl_ms": ttl.as_millis() as u64 }))
 }
 
-#[post("/lease/keepalive", data = "<body>")]
-async fn keep_alive(app: &App, body: Data<'_>) -> Answer {
-    let body = read_body(body).await?;
-    admit(app, true).await?;
-    let id = number(&body["ID"]);
+#[post("/kv-keep/<id>")]
+async fn keep_alive(app: &App, id: u64) -> Answer {
+    admit(app, false).await?;
     let mut store = app.lock();
     store.expire(Instant::now());
-    let ttl = match store.leases.get_mut(&id) {
-        Some(lease) => {
-            lease.expires = Instant::now() + lease.ttl;
-            lease.ttl.as_secs()
-        }
-        None => 0,
-    };
-    answer(&json!({ "result": { "ID": id.to_string(), "TTL": ttl.to_string() } }))
+    let lease = store.leases.get_mut(&id).ok_or(Status::NotFound)?;
+    lease.expires = Instant::now() + lease.ttl;
+    answer(&json!({ "ttl_ms": lease.ttl.as_millis() as u64 }))
 }
 
-#[post("/lease/revoke", data = "<body>")]
-async fn revoke(app: &App, body: Data<'_>) -> Answer {
-    let body = read_body(body).await?;
+#[delete("/kv-lease-end/<id>")]
+async fn revoke(app: &App, id: u64) -> Answer {
     admit(app, true).await?;
-    app.lock().revoke(number(&body["ID"]));
+    app.lock().revoke(id);
     app.wake();
     answer(&json!({}))
 }
 
-#[post("/watch", data = "<body>")]
-async fn open_watch(app: &App, body: Data<'_>) -> Result<ByteStream![Vec<u8>], Status> {
-    let body = read_body(body).await?;
+#[get("/kv-watch?<path_prefix>&<after>&<wait_ms>")]
+async fn changes(app: &App, path_prefix: Option<&str>, after: u64, wait_ms: u64) -> Answer {
     admit(app, false).await?;
-    let request = &body["create_request"];
-    let (key, end) = (bytes(&request["key"]), bytes(&request["range_end"]));
-    let mut from = number(&request["start_revision"]);
-    let shared = Arc::clone(app);
-    let mut changed = shared.changed.subscribe();
-    Ok(ByteStream! {
-        loop {
-            changed.mark_unchanged();
-            if shared.faults.kv().down {
-                return;
-            }
-            let (line, next, canceled) = watch_line(&shared, &key, &end, from);
-            from = next;
-            if let Some(line) = line {
-                yield line;
-            }
-            if canceled {
-                return;
-            }
-            if tokio::time::timeout(Duration::from_millis(500), changed.changed()).await.is_err() {
-                yield b"{\"result\":{\"header\":{\"revision\":\"0\"},\"events\":[]}}\n".to_vec();
-            }
+    let prefix = path_prefix.unwrap_or_default();
+    let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms).min(MAX_WAIT);
+    let mut changed = app.changed.subscribe();
+    loop {
+        changed.mark_unchanged();
+        if app.faults.kv().down {
+            return Err(Status::ServiceUnavailable);
         }
-    })
+        let waited = tokio::time::Instant::now() >= until;
+        if let Some(body) = changes_since(app, prefix, after, waited)? {
+            return answer(&body);
+        }
+        let wake = until.min(tokio::time::Instant::now() + FAULT_CHECK);
+        // A wait that ends early only looks again.
+        let _ = tokio::time::timeout_at(wake, changed.changed()).await;
+    }
 }
 
-fn watch_line(shared: &Shared, key: &[u8], end: &[u8], from: u64) -> (Option<Vec<u8>>, u64, bool) {
-    let store = shared.lock();
+fn changes_since(
+    app: &Shared,
+    prefix: &str,
+    after: u64,
+    waited: bool,
+) -> Result<Option<Value>, Status> {
+    let store = app.lock();
     let oldest = store.history.front().map_or(0, |change| change.revision);
-    let complete = store.history.len() < HISTORY || from >= oldest;
-    let header = json!({ "revision": store.revision.to_string() });
-    let events: Vec<Value> = store
-        .history
-        .iter()
-        .rev()
-        .take_while(|change| change.revision >= from)
-        .filter(|change| change.key.as_slice() >= key && change.key.as_slice() < end)
-        .map(|change| match &change.item {
-            Some(item) => json!({ "type": "PUT", "kv": kv_json(&change.key, item) }),
-            None => json!({ "type": "DELETE", "kv": { "key": STANDARD.encode(&change.key) } }),
-        })
-        .collect();
-    let events: Vec<Value> = events.into_iter().rev().collect();
-    let next = store.revision + 1;
-    if complete && events.is_empty() {
-        return (None, next, false);
+    if store.history.len() == HISTORY && after < oldest {
+        return Err(Status::Gone);
     }
-    let result = json!({ "header": header, "events": events, "canceled": !complete });
-    (Some(format!("{}\n", json!({ "result": result })).into_bytes()), next, !complete)
+    let recent = store.history.iter().rev().take_while(|change| change.revision > after);
+    let mut events: Vec<Value> =
+        recent.filter(|change| change.key.starts_with(prefix)).map(change_json).collect();
+    events.reverse();
+    let body = json!({ "events": events, "store_revision": store.revision });
+    Ok((waited || !events.is_empty()).then_some(body))
 }
