--- /dev/null
+++ b/crates/catkinshed/tests/gateway.rs
@@ -0,0 +1,309 @@
+//! What a gateway promises to clients and endpoints, while endpoints break off.
+
+use std::time::Duration;
+use testing::gate::{Answer, Gate, config, streaming, until};
+use testing::script::{Act, Endpoint};
+use tokio::io::AsyncReadExt;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_catkinshed");
+const GAP: Duration = Duration::from_millis(20);
+
+/// Starts one daemon before one endpoint that plays `script` and then answers.
+async fn single(name: &str, script: impl IntoIterator<Item = Act>) -> (Gate, Endpoint) {
+    let endpoint = Endpoint::start("e-1", Act::Answer).await;
+    let gate = Gate::start(BINARY, name, 1, &[&endpoint]).await;
+    endpoint.then(script);
+    (gate, endpoint)
+}
+
+fn ids(endpoint: &Endpoint) -> Vec<String> {
+    endpoint.runs().into_iter().map(|run| run.id).collect()
+}
+
+fn events(answer: &Answer) -> Vec<u64> {
+    let ids = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+/// Names each case of an endpoint's act: the path, the act, the status, how often the request ran,
+/// and whether the client may take it as not run.
+macro_rules! acts {
+    ($($name:ident: $path:expr, $act:expr => $status:expr, runs $runs:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let (gate, endpoint) = single(stringify!($name), [$act]).await;
+            let answer = gate.ask(0, $path, "r-1", &["Deadline-Ms: 1500"]).await;
+            assert_eq!(answer.status, $status, "{answer:?}");
+            assert!(answer.complete, "{answer:?}");
+            assert_eq!(ids(&endpoint), vec!["r-1"; $runs]);
+        })*
+    };
+}
+
+acts! {
+    a_whole_answer_is_passed_on: "/unsafe/x", Act::Answer => 200, runs 1;
+    a_failure_of_the_endpoint_is_passed_on: "/unsafe/x", Act::Fail => 500, runs 1;
+    a_lost_unsafe_request_runs_once: "/unsafe/x", Act::Close => 502, runs 1;
+    a_lost_safe_request_runs_again: "/safe/x", Act::Close => 200, runs 2;
+    a_foreign_answer_to_an_unsafe_request_is_dropped: "/unsafe/x", Act::Foreign => 502, runs 1;
+    a_foreign_answer_to_a_safe_request_is_replaced: "/safe/x", Act::Foreign => 200, runs 2;
+    a_truncated_unsafe_answer_is_not_passed_on: "/unsafe/x", Act::Truncated => 502, runs 1;
+    a_truncated_safe_answer_is_replaced: "/safe/x", Act::Truncated => 200, runs 2;
+    garbage_is_not_passed_on: "/unsafe/x", Act::Garbage => 502, runs 1;
+    a_silent_endpoint_costs_the_deadline_only: "/unsafe/x", Act::Silent => 504, runs 1;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_no_endpoint_ran_is_refused_with_a_time_to_come_back() {
+    let (gate, endpoint) = single("full", vec![Act::Full; 3]).await;
+    let answer = gate.ask(0, "/unsafe/x", "r-1", &["Deadline-Ms: 1500"]).await;
+    assert_eq!(answer.status, 503);
+    let delay: f64 = answer.header("retry-after").and_then(|v| v.parse().ok()).expect("a time");
+    assert!(delay > 0.0 && delay < 1.0, "{delay}");
+    assert_eq!(ids(&endpoint), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_request_goes_to_another_endpoint() {
+    let full = Endpoint::start("e-1", Act::Full).await;
+    let moved = Endpoint::start("e-2", Act::Misdirected).await;
+    let open = Endpoint::start("e-3", Act::Answer).await;
+    let gate = Gate::start(BINARY, "elsewhere", 1, &[&full, &moved, &open]).await;
+    for number in 0..10 {
+        let answer = gate.ask(0, "/unsafe/x", &format!("r-{number}"), &[]).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(open.runs().len(), 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_answer_reaches_nobody() {
+    let (gate, endpoint) = single("twice", [Act::Twice]).await;
+    for number in 0..5 {
+        let id = format!("r-{number}");
+        let answer = gate.ask(0, "/unsafe/x", &id, &[]).await;
+        assert_eq!((answer.status, answer.header("request-id")), (200, Some(id.as_str())));
+    }
+    assert_eq!(endpoint.runs().len(), 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_passed_on_whole() {
+    let (gate, _endpoint) = single("stream", [streaming(8, GAP)]).await;
+    let answer = gate.ask(0, "/stream/x", "r-1", &[]).await;
+    assert!(answer.complete);
+    assert_eq!(events(&answer), (1..=8).collect::<Vec<u64>>());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_is_resumed_within_the_same_answer() {
+    let breaks = |after| Act::Stream { events: 8, gap: GAP, breaks_after: Some(after) };
+    let (gate, endpoint) = single("resume", [breaks(3), breaks(2), streaming(8, GAP)]).await;
+    let answer = gate.ask(0, "/stream/x", "r-1", &[]).await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(events(&answer), (1..=8).collect::<Vec<u64>>());
+    let resumed: Vec<_> =
+        endpoint.runs().iter().map(|run| run.headers.get("last-event-id").cloned()).collect();
+    assert_eq!(resumed, [None, Some("3".to_owned()), Some("5".to_owned())]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_that_cannot_resume_does_not_look_complete() {
+    let breaks = Act::Stream { events: 8, gap: GAP, breaks_after: Some(3) };
+    let (gate, endpoint) = single("plain", [breaks]).await;
+    let answer = gate.ask(0, "/plain/x", "r-1", &[]).await;
+    assert!(!answer.complete, "{answer:?}");
+    assert_eq!(events(&answer), [1, 2, 3]);
+    assert_eq!(endpoint.runs().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_leaves_cancels_its_request() {
+    let (gate, endpoint) = single("leave", [Act::Silent, streaming(200, GAP)]).await;
+    let waiting = gate.open(0, "/unsafe/x", "r-1", &[]).await;
+    until("the first run", || endpoint.runs().len() == 1).await;
+    drop(waiting);
+    until("the end of the first run", || endpoint.abandoned().len() == 1).await;
+    let mut stream = gate.open(0, "/stream/x", "r-2", &[]).await;
+    let mut some = [0; 64];
+    stream.read_exact(&mut some).await.expect("the stream begins");
+    drop(stream);
+    until("the end of the second run", || endpoint.abandoned().len() == 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_the_system_sets_what_concerns_the_endpoint() {
+    let (gate, endpoint) = single("headers", []).await;
+    let sent = [
+        "Hold: 7",
+        "Pin-Ms: 4000",
+        "Kv-Backup: 10.255.0.1:1",
+        "Kv-From: 10.255.0.1:1/9",
+        "Expect-Instance: e-9",
+        "Deadline-Ms: 900",
+        "X-Own: kept",
+    ];
+    gate.ask(0, "/unsafe/x?q=1", "r-1", &sent).await;
+    let run = &endpoint.runs()[0];
+    let get = |name: &str| run.headers.get(name).map(String::as_str);
+    assert_eq!(run.line, "POST /unsafe/x?q=1 HTTP/1.1");
+    assert_eq!(run.body, b"body");
+    assert_eq!(get("expect-instance"), Some("e-1"));
+    assert_eq!(get("x-own"), Some("kept"));
+    let bait = ["hold", "pin-ms", "kv-backup", "kv-from"];
+    assert!(bait.iter().all(|name| get(name).is_none()), "{:?}", run.headers);
+    let left: u64 = get("deadline-ms").and_then(|left| left.parse().ok()).expect("a deadline");
+    assert!(left <= 900, "{left} ms are more than the client waits");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_framed_twice_smuggles_nothing() {
+    let (gate, endpoint) = single("smuggle", []).await;
+    let inner = "POST /unsafe/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: forged\r\n\
+                 Content-Length: 0\r\n\r\n";
+    for framing in [
+        format!("Content-Length: {}\r\nTransfer-Encoding: chunked", 5 + inner.len()),
+        format!("Transfer-Encoding: chunked\r\nContent-Length: {}", 5 + inner.len()),
+    ] {
+        let bytes = format!(
+            "POST /unsafe/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\n{framing}\r\n\r\n\
+             0\r\n\r\n{inner}"
+        );
+        let mut stream = gate.raw(0, bytes.as_bytes()).await;
+        let mut answers = Vec::new();
+        // The daemon closes the connection, with or without a reset.
+        let _ = stream.read_to_end(&mut answers).await;
+        let answers = String::from_utf8_lossy(&answers).into_owned();
+        assert!(answers.matches("HTTP/1.1").count() <= 1, "{answers}");
+    }
+    assert!(!ids(&endpoint).contains(&"forged".to_owned()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_over_the_limit_is_refused_and_runs_nowhere() {
+    let (gate, endpoint) = single("large", []).await;
+    let head = "POST /unsafe/x HTTP/1.1\r\nHost: app.example\r\nRequest-Id: r-1\r\n\
+                Content-Length: 70000\r\n\r\n";
+    let mut stream = gate.raw(0, &[head.as_bytes(), &[b'x'; 70_000]].concat()).await;
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).await.expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 413");
+    assert!(endpoint.runs().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_and_never_reverts() {
+    let (gate, _endpoint) = single("config", []).await;
+    let mut added = config(5);
+    added["routes"][0]["path_prefix"] = "/added/".into();
+    gate.configure(&added).await;
+    let mut tries = 0;
+    while gate.ask(0, "/added/x", "r-1", &[]).await.status != 200 {
+        tries += 1;
+        assert!(tries < 100, "the route is not added");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(gate.ask(0, "/safe/x", "r-2", &[]).await.status, 404);
+    gate.configure(&config(3)).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(gate.ask(0, "/added/x", "r-3", &[]).await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_endpoint_gets_no_new_work() {
+    let leaving = Endpoint::start("e-1", Act::Answer).await;
+    let other = Endpoint::start("e-2", Act::Answer).await;
+    let gate = Gate::start(BINARY, "drain", 1, &[&leaving, &other]).await;
+    gate.register(&leaving, "draining").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = leaving.runs().len();
+    for number in 0..10 {
+        assert_eq!(gate.ask(0, "/unsafe/x", &format!("r-{number}"), &[]).await.status, 200);
+    }
+    assert_eq!(leaving.runs().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_cuts_off_no_request() {
+    let (mut gate, _endpoint) = single("stop", [streaming(60, GAP)]).await;
+    let mut stream = gate.open(0, "/stream/x", "r-1", &[]).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    gate.daemons[0].process.terminate();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!gate.daemons[0].is_ready().await);
+    assert_eq!(gate.ask(0, "/unsafe/x", "r-2", &[]).await.status, 200);
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await.expect("the stream ends in order");
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.contains("id: 60") && text.ends_with("0\r\n\r\n"), "{text}");
+    assert_eq!(gate.daemons[0].process.exited().await, Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_the_platform_turns_away_learns_from_its_peers() {
+    let endpoint = Endpoint::start("e-1", Act::Answer).await;
+    let mut gate = Gate::start(BINARY, "peers", 2, &[&endpoint]).await;
+    gate.faults.set(|state| state.kv.down = true);
+    gate.daemons[1].restart();
+    gate.daemons[1].ready().await;
+    assert_eq!(gate.ask(1, "/unsafe/x", "r-1", &[]).await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_storage_vm_is_reported_empty_once_asked() {
+    let endpoint = Endpoint::start("e-1", Act::Answer).await;
+    let gate = Gate::start(BINARY, "retire", 2, &[&endpoint]).await;
+    gate.store.create("op/retire/disk-1", br#"{"duration_s":10}"#, None).await.expect("a write");
+    let mut tries = 0;
+    let report = loop {
+        if let Some(found) = gate.store.get("status/retire/disk-1").await.expect("an answer") {
+            break found;
+        }
+        tries += 1;
+        assert!(tries < 200, "nobody reports");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    assert_eq!(report.value, br#"{"state":"done"}"#);
+}
+
+const BUDGET: &str = "Token-Budget: 300";
+const USAGE: &str = "Token-Usage: 20,100";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_program_spends_its_budget_over_all_daemons_and_stays_stopped() {
+    let endpoint = Endpoint::start("e-1", streaming(5, Duration::from_millis(1))).await;
+    let mut gate = Gate::start(BINARY, "budget", 3, &[&endpoint]).await;
+    let headers = ["Program-Id: p-1", BUDGET, USAGE];
+    let mut served = 0;
+    for turn in 0..20 {
+        let answer = gate.ask(turn % 3, "/stream/x", &format!("r-{turn}"), &headers).await;
+        match answer.status {
+            200 => served += 1,
+            status => assert_eq!(status, 402, "{answer:?}"),
+        }
+    }
+    // Each turn hands out 50 tokens and may hand out 100.
+    assert_eq!(served, 5);
+    assert_eq!(endpoint.runs().len(), 5);
+    for daemon in &mut gate.daemons {
+        daemon.restart();
+    }
+    for daemon in &gate.daemons {
+        daemon.ready().await;
+    }
+    let answer = gate.ask(0, "/stream/x", "late", &headers).await;
+    assert_eq!(answer.status, 402);
+    assert_eq!(endpoint.runs().len(), 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_program_goes_on_while_its_owner_is_gone() {
+    let endpoint = Endpoint::start("e-1", streaming(2, Duration::from_millis(1))).await;
+    let mut gate = Gate::start(BINARY, "owner", 2, &[&endpoint]).await;
+    gate.daemons[1].process.kill();
+    for program in 0..8 {
+        let id = format!("Program-Id: p-{program}");
+        let answer = gate.ask(0, "/stream/x", &format!("r-{program}"), &[&id, BUDGET, USAGE]).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -69,6 +69,7 @@
         kv: kv.clone(),
         desk: desk.clone(),
         health,
+        retired: Arc::default(),
     };
     runtime()?.block_on(async {
         tokio::spawn(follower.clone().keep(Part::Configuration));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,16 +5,18 @@
 //! since the service may turn some daemons away and serve others.
 
 use crate::desk::Desk;
-use crate::members;
 use crate::settings::{Settings, millis};
 use crate::view::{Change, View};
+use crate::{members, retire};
+use indexmap::IndexMap;
 use peer::gateway::{Answer, Ask, Member};
 use peer::wire::{Reply, Request};
 use platform::kv::{Client, Entry, Error, Event};
 use platform::{config, registry};
 use sched::fleet::Registration;
-use std::sync::Arc;
+use sched::id::VmId;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
@@ -85,6 +87,8 @@
     pub desk: Arc<Desk>,
     /// Whether the watches work.
     pub health: Arc<Health>,
+    /// Requests to empty a storage VM that were taken up, with their revisions.
+    pub retired: Arc<Mutex<IndexMap<VmId, u64>>>,
 }
 
 impl Follower {
@@ -155,6 +159,22 @@
                 Err(error) => log::error!(target: "config", "{error}"),
             }
         }
+        if let Some(vm) = entry.key.strip_prefix(config::RETIRE_PREFIX) {
+            self.retire(vm.into(), entry.revision);
+        }
+    }
+
+    /// Answers each request to empty a storage VM once.
+    fn retire(&self, vm: VmId, revision: u64) {
+        let mut answered = self.retired.lock().unwrap_or_else(PoisonError::into_inner);
+        if answered.insert(vm.clone(), revision) == Some(revision) {
+            return;
+        }
+        let follower = self.clone();
+        tokio::spawn(async move {
+            let Follower { kv, view, settings, .. } = &follower;
+            retire::report(kv, view, &settings.vm, &vm).await;
+        });
     }
 
     fn replace(&self, entries: &[Entry], revision: u64) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`follow`] keeps the view up to date from the key-value service, and from peers when the
 //!   service turns this daemon away;
 //! * [`desk`] reserves tokens of programs' budgets at their owners;
+//! * [`retire`] answers requests to empty a storage VM;
 //! * [`probes`] answers readiness and metrics, [`daemon`] starts and stops the parts.
 //!
 //! One thread runs the control tasks, another the traffic; they share the view and the ledgers
@@ -26,6 +27,7 @@
 pub mod peers;
 pub mod probes;
 pub mod relay;
+pub mod retire;
 pub mod settings;
 pub mod storage;
 pub mod upstream;
--- /dev/null
+++ b/crates/sched/tests/attempt.rs
@@ -0,0 +1,88 @@
+//! May a request have run, and may it run again?
+
+use sched::attempt::{Attempt, Loss, Next, Progress};
+use sched::route::Kind;
+
+const STREAM: Kind = Kind::Stream { resumable: true };
+const PLAIN_STREAM: Kind = Kind::Stream { resumable: false };
+
+/// One step of a request's life.
+enum Step {
+    Refused(&'static str),
+    Unsent(&'static str),
+    Lost(&'static str, Loss),
+}
+
+use Step::{Lost, Refused, Unsent};
+
+/// Sends and takes each step; returns what follows the last one.
+fn walk(kind: Kind, max_attempts: u32, steps: &[Step]) -> (Next, Progress) {
+    let mut attempt = Attempt::new(kind, max_attempts);
+    let mut next = Next::Anywhere;
+    for step in steps {
+        attempt.send();
+        next = match step {
+            Refused(endpoint) => attempt.refuse(&(*endpoint).into()),
+            Unsent(endpoint) => attempt.unsent(&(*endpoint).into()),
+            Lost(endpoint, loss) => attempt.lose(&(*endpoint).into(), *loss),
+        };
+    }
+    (next, attempt.progress())
+}
+
+macro_rules! walks {
+    ($($name:ident: $kind:expr, $max:expr, [$($step:expr),*] => $next:expr, $progress:ident;)*) => {
+        $(#[test] fn $name() {
+            assert_eq!(walk($kind, $max, &[$($step),*]), ($next, Progress::$progress));
+        })*
+    };
+}
+
+walks! {
+    a_refused_unsafe_request_goes_elsewhere:
+        Kind::Unsafe, 1, [Refused("a")] => Next::Anywhere, NotRun;
+    an_unsafe_request_that_did_not_leave_goes_again:
+        Kind::Unsafe, 1, [Unsent("a")] => Next::Anywhere, NotRun;
+    a_lost_unsafe_request_is_never_sent_again:
+        Kind::Unsafe, 3, [Lost("a", Loss::Alive)] => Next::Unknown, MayHaveRun;
+    a_lost_unsafe_request_is_never_sent_again_from_a_dead_endpoint:
+        Kind::Unsafe, 3, [Lost("a", Loss::Gone)] => Next::Unknown, MayHaveRun;
+    a_refusal_before_a_loss_changes_nothing:
+        Kind::Unsafe, 3, [Refused("a"), Lost("b", Loss::Gone)] => Next::Unknown, MayHaveRun;
+    a_stream_that_cannot_resume_is_unsafe:
+        PLAIN_STREAM, 2, [Lost("a", Loss::Alive)] => Next::Unknown, MayHaveRun;
+    a_lost_safe_request_goes_elsewhere_within_its_attempts:
+        Kind::Safe, 2, [Lost("a", Loss::Alive)] => Next::Anywhere, MayHaveRun;
+    a_lost_safe_request_stays_when_its_attempts_are_used:
+        Kind::Safe, 2, [Lost("a", Loss::Alive), Lost("b", Loss::Alive)]
+            => Next::Same("b".into()), MayHaveRun;
+    a_stream_resumes_at_its_endpoint:
+        STREAM, 1, [Lost("a", Loss::Alive)] => Next::Same("a".into()), MayHaveRun;
+    a_stream_resumes_elsewhere_when_its_endpoint_is_gone:
+        STREAM, 1, [Lost("a", Loss::Gone)] => Next::Anywhere, MayHaveRun;
+    a_resumed_stream_that_is_refused_is_not_said_not_to_have_run:
+        STREAM, 1, [Lost("a", Loss::Gone), Refused("b")] => Next::Anywhere, MayHaveRun;
+}
+
+#[test]
+fn a_request_under_way_that_is_given_up_is_unknown() {
+    let mut attempt = Attempt::new(Kind::Safe, 1);
+    assert_eq!(attempt.give_up(), Next::RefuseNotRun);
+    attempt.send();
+    assert_eq!(attempt.give_up(), Next::Unknown);
+}
+
+#[test]
+fn refusals_end() {
+    let mut attempt = Attempt::new(Kind::Unsafe, 1);
+    let mut tries = 0;
+    loop {
+        attempt.send();
+        tries += 1;
+        if attempt.refuse(&format!("e{tries}").as_str().into()) == Next::RefuseNotRun {
+            break;
+        }
+        assert!(tries < 50, "a request is offered for ever");
+    }
+    assert_eq!(attempt.progress(), Progress::NotRun);
+}
--- /dev/null
+++ b/crates/sched/tests/fleet.rs
@@ -0,0 +1,122 @@
+//! Placement on endpoints as registrations and traffic show them.
+
+use sched::fleet::{Fleet, Need, Registration, State};
+use std::time::{Duration, Instant};
+
+fn registration(id: &str, dc: &str, incarnation: u64) -> Registration {
+    Registration {
+        id: id.into(),
+        service: "s".into(),
+        addr: ([10, 0, 0, 1], 80).into(),
+        dc: dc.into(),
+        slots: 4,
+        state: State::Ready,
+        incarnation,
+    }
+}
+
+fn fleet(ids: &[&str]) -> Fleet {
+    let mut fleet = Fleet::default();
+    ids.iter().for_each(|id| fleet.register(registration(id, "here", 1)));
+    fleet
+}
+
+fn place(fleet: &Fleet, need: &Need<'_>, now: Instant) -> Option<String> {
+    let mut rng = fastrand::Rng::with_seed(7);
+    fleet.place("s", need, &mut rng, now).map(|choice| choice.registration.id.into_string())
+}
+
+fn here<'a>() -> Need<'a> {
+    Need { dc: "here", ..Need::default() }
+}
+
+macro_rules! cases {
+    ($($name:ident($now:ident) $body:block)*) => {
+        $(#[test] fn $name() { let $now = Instant::now(); $body })*
+    };
+}
+
+cases! {
+    the_least_loaded_endpoint_is_chosen(now) {
+        let mut fleet = fleet(&["a", "b"]);
+        fleet.begin("a");
+        assert_eq!(place(&fleet, &here(), now).as_deref(), Some("b"));
+        fleet.begin("b");
+        fleet.begin("b");
+        assert_eq!(place(&fleet, &here(), now).as_deref(), Some("a"));
+    }
+
+    an_endpoint_of_this_data_centre_goes_first(now) {
+        let mut fleet = fleet(&["a"]);
+        fleet.register(registration("b", "there", 1));
+        assert_eq!(place(&fleet, &here(), now).as_deref(), Some("a"));
+        let there = Need { dc: "there", ..Need::default() };
+        assert_eq!(place(&fleet, &there, now).as_deref(), Some("b"));
+    }
+
+    a_burst_leaves_a_full_data_centre(now) {
+        let mut fleet = fleet(&["a"]);
+        fleet.register(registration("b", "there", 1));
+        for _ in 0..4 {
+            fleet.begin("a");
+        }
+        assert_eq!(place(&fleet, &here(), now).as_deref(), Some("b"));
+    }
+
+    a_draining_endpoint_gets_nothing(now) {
+        let mut fleet = fleet(&["a"]);
+        fleet.register(Registration { state: State::Draining, ..registration("a", "here", 1) });
+        assert_eq!(place(&fleet, &here(), now), None);
+    }
+
+    a_failed_endpoint_is_passed_over_and_comes_back(now) {
+        let mut fleet = fleet(&["a", "b"]);
+        fleet.fail("a", now);
+        fleet.begin("b");
+        assert_eq!(place(&fleet, &here(), now).as_deref(), Some("b"));
+        let later = now + Duration::from_secs(5);
+        assert_eq!(place(&fleet, &here(), later).as_deref(), Some("a"));
+    }
+
+    ejection_never_empties_a_service(now) {
+        let mut fleet = fleet(&["a", "b"]);
+        fleet.fail("a", now);
+        fleet.fail("b", now);
+        assert!(place(&fleet, &here(), now).is_some());
+    }
+
+    a_vanished_registration_is_used_for_a_moment_only(now) {
+        let mut fleet = fleet(&["a"]);
+        fleet.vanish("a", now);
+        assert!(place(&fleet, &here(), now + Duration::from_secs(1)).is_some());
+        assert_eq!(place(&fleet, &here(), now + Duration::from_secs(2)), None);
+        fleet.register(registration("a", "here", 1));
+        assert!(place(&fleet, &here(), now + Duration::from_secs(2)).is_some());
+    }
+
+    a_new_incarnation_starts_without_history(now) {
+        let mut fleet = fleet(&["a", "b"]);
+        let former = registration("a", "here", 1);
+        fleet.fail("a", now);
+        fleet.begin("b");
+        fleet.register(registration("a", "here", 2));
+        assert_eq!(place(&fleet, &here(), now).as_deref(), Some("a"));
+        assert!(!fleet.takes_work(&former, now));
+    }
+
+    an_endpoint_that_refused_is_not_asked_again(now) {
+        let avoid = ["a".into()];
+        let need = Need { avoid: &avoid, ..here() };
+        assert_eq!(place(&fleet(&["a"]), &need, now), None);
+    }
+
+    a_line_stays_with_its_endpoint(now) {
+        let ids: Vec<String> = (0..9).map(|number| format!("e{number}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        let fleet = fleet(&ids);
+        let need = Need { affinity: "line-1", affinity_load: 0.3, ..here() };
+        let first = place(&fleet, &need, now);
+        assert!(first.is_some());
+        (0..20).for_each(|_| assert_eq!(place(&fleet, &need, now), first));
+    }
+}
--- /dev/null
+++ b/crates/testing/src/gate.rs
@@ -0,0 +1,317 @@
+//! Gateway daemons as processes, with scripted endpoints and the key-value stand-in.
+
+use crate::faults::Switchboard;
+use crate::kv::{self, Kv};
+use crate::net;
+use crate::process::Running;
+use crate::script::{Act, Endpoint};
+use gateway::settings::{Limits, Settings};
+use platform::kv::Client;
+use serde_json::{Value, json};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Host of all routes.
+pub const HOST: &str = "app.example";
+/// Longest wait for something that has to happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Bound of one call to the key-value service.
+const KV_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A gateway daemon.
+pub struct Daemon {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its process.
+    pub process: Running,
+    path: PathBuf,
+    binary: String,
+}
+
+impl Daemon {
+    /// Starts the daemon again after it has ended.
+    pub fn restart(&mut self) {
+        self.process.kill();
+        self.settings.first_start = false;
+        write(&self.path, &self.settings);
+        self.process = Running::start(&self.binary, &self.settings.vm, &["gateway"], &self.path);
+    }
+
+    /// Tells whether the daemon reports itself ready.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}{}", self.settings.probe_addr, platform::READY_PATH);
+        reqwest::get(url).await.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Waits until the daemon reports itself ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not become ready.
+    pub async fn ready(&self) {
+        let started = Instant::now();
+        while !self.is_ready().await {
+            assert!(started.elapsed() < PATIENCE, "{} is not ready", self.settings.vm);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// An answer as a client sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Its head, in lower case.
+    pub head: String,
+    /// Its body, without the framing.
+    pub body: String,
+    /// Whether it ended as its framing says.
+    pub complete: bool,
+}
+
+impl Answer {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        lines.filter(|(found, _)| *found == name).map(|(_, value)| value.trim()).next()
+    }
+}
+
+/// Everything of one test.
+pub struct Gate {
+    /// Switches of the key-value stand-in's faults.
+    pub faults: Switchboard,
+    /// The key-value stand-in.
+    pub kv: Kv,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// A client of the key-value stand-in.
+    pub store: Client,
+    folder: PathBuf,
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        // What is left behind is in the system's folder for temporary files.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Gate {
+    /// Starts `count` daemons and registers the endpoints, all of service `s`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process cannot be started.
+    pub async fn start(binary: &str, name: &str, count: usize, endpoints: &[&Endpoint]) -> Self {
+        let faults = Switchboard::default();
+        let kv = Kv::start(kv::Spec::default(), faults.clone()).await;
+        let store = Client::new(&kv.url(), KV_TIMEOUT).expect("a client");
+        let folder = format!("catkinshed-gate-{name}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).expect("a folder for temporary files");
+        let mut gate = Self { faults, kv, daemons: Vec::new(), store, folder };
+        for endpoint in endpoints {
+            gate.register(endpoint, "ready").await;
+        }
+        gate.configure(&config(1)).await;
+        let peers: Vec<_> = (0..count).map(|_| net::free_addr()).collect();
+        let seeds: Vec<_> = peers.iter().map(|addr| addr.to_string().into()).collect();
+        for (number, peer_addr) in peers.into_iter().enumerate() {
+            let settings = Settings {
+                vm: format!("gate-{number}").into(),
+                dc: "dc-1".into(),
+                client_addr: net::free_addr(),
+                probe_addr: net::free_addr(),
+                peer_addr,
+                seeds: seeds.clone(),
+                kv: gate.kv.url().into(),
+                cluster_key: "key-of-the-gate-tests".to_owned(),
+                first_start: true,
+                limits: Limits { lease_ttl_ms: 2_000, ..Limits::default() },
+            };
+            gate.launch(binary, settings);
+        }
+        for daemon in &gate.daemons {
+            daemon.ready().await;
+        }
+        gate
+    }
+
+    fn launch(&mut self, binary: &str, settings: Settings) {
+        let path = self.folder.join(format!("{}.json", settings.vm));
+        write(&path, &settings);
+        let process = Running::start(binary, &settings.vm, &["gateway"], &path);
+        self.daemons.push(Daemon { settings, process, path, binary: binary.to_owned() });
+    }
+
+    /// Writes an endpoint's registration.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the key-value stand-in refuses it.
+    pub async fn register(&self, endpoint: &Endpoint, state: &str) {
+        let value = json!({
+            "backend": "s", "address": endpoint.addr.to_string(), "zone": "dc-1", "version": "v1",
+            "slots": 4, "state": state, "call_seq": 1, "born": 1,
+        });
+        self.put(&format!("servers/{}", endpoint.id), &value).await;
+    }
+
+    /// Deletes an endpoint's registration.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the key-value stand-in refuses it.
+    pub async fn unregister(&self, endpoint: &Endpoint) {
+        let key = format!("servers/{}", endpoint.id);
+        let found = self.store.get(&key).await.expect("an answer").expect("a registration");
+        self.store.delete(&key, found.revision).await.expect("a deletion");
+    }
+
+    /// Writes the operators' configuration.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the key-value stand-in refuses it.
+    pub async fn configure(&self, config: &Value) {
+        self.put("op/config", config).await;
+    }
+
+    async fn put(&self, key: &str, value: &Value) {
+        let found = self.store.get(key).await.expect("an answer");
+        let revision = found.map_or(0, |entry| entry.revision);
+        let value = value.to_string();
+        self.store.swap(key, value.as_bytes(), revision, None).await.expect("a write");
+    }
+
+    /// Sends a request with these further headers to a daemon and reads the answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the daemon does not take the connection.
+    pub async fn ask(&self, daemon: usize, path: &str, id: &str, headers: &[&str]) -> Answer {
+        let mut stream = self.open(daemon, path, id, headers).await;
+        let mut bytes = Vec::new();
+        // A connection that breaks leaves an answer that is not complete.
+        let _ = stream.read_to_end(&mut bytes).await;
+        parse(&bytes)
+    }
+
+    /// Sends a request as [`Gate::ask`] does, and leaves its answer to be read.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the daemon does not take the connection.
+    pub async fn open(&self, daemon: usize, path: &str, id: &str, headers: &[&str]) -> TcpStream {
+        let method = if path.starts_with("/safe/") { "GET" } else { "POST" };
+        let mut head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\
+             Connection: close\r\n"
+        );
+        headers.iter().for_each(|header| head += &format!("{header}\r\n"));
+        self.raw(daemon, format!("{head}Content-Length: 4\r\n\r\nbody").as_bytes()).await
+    }
+
+    /// Sends bytes to a daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the daemon does not take the connection.
+    pub async fn raw(&self, daemon: usize, bytes: &[u8]) -> TcpStream {
+        let addr = self.daemons[daemon].settings.client_addr;
+        let mut stream = TcpStream::connect(addr).await.expect("the daemon takes a connection");
+        stream.write_all(bytes).await.expect("the daemon reads");
+        stream
+    }
+}
+
+/// Waits until `check` holds.
+///
+/// # Panics
+///
+/// Panics when it never does; the message names what was waited for.
+pub async fn until(what: &str, mut check: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !check() {
+        assert!(started.elapsed() < PATIENCE, "{what} never came");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A configuration with one route of each kind, all to service `s`.
+pub fn config(version: u64) -> Value {
+    let route = |prefix: &str, kind: &str, attempts: u32| {
+        json!({
+            "name": prefix, "hostname": HOST, "path_prefix": format!("/{prefix}/"), "kind": kind,
+            "timeout_ms": 3_000, "target_latency_ms": 250, "priority": 0, "backend": "s",
+            "max_attempts": attempts, "retention_s": 60.0, "resumable": prefix == "stream",
+            "gap_aim_ms": 200,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("safe", "safe", 2), route("unsafe", "unsafe", 2),
+            route("stream", "stream", 1), route("plain", "stream", 1),
+        ],
+        "services": [{
+            "name": "s", "health_path": "/healthz", "max_connections": 100,
+            "engine": { "slots": 4, "kv_capacity": 100_000, "chunk_tokens": 10 },
+        }],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000,
+        },
+    })
+}
+
+/// An endpoint that streams this many events without a break.
+pub fn streaming(events: u64, gap: Duration) -> Act {
+    Act::Stream { events, gap, breaks_after: None }
+}
+
+fn write(path: &PathBuf, settings: &Settings) {
+    let mut value = serde_json::to_value(settings).expect("settings");
+    // The key is left out where settings are shown.
+    value["cluster_key"] = json!(settings.cluster_key);
+    std::fs::write(path, value.to_string()).expect("a settings file");
+}
+
+fn parse(bytes: &[u8]) -> Answer {
+    let text = String::from_utf8_lossy(bytes);
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+        return Answer::default();
+    };
+    let head = head.to_ascii_lowercase();
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    let answer = Answer { status, head, ..Answer::default() };
+    if answer.header("transfer-encoding") == Some("chunked") {
+        let (body, complete) = unchunk(rest);
+        return Answer { body, complete, ..answer };
+    }
+    let length = answer.header("content-length").and_then(|length| length.parse().ok());
+    Answer { body: rest.to_owned(), complete: length == Some(rest.len()), ..answer }
+}
+
+fn unchunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, tail)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            return (body, false);
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(part) = tail.get(..size) else {
+            return (body + tail, false);
+        };
+        body += part;
+        rest = tail.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -11,11 +11,91 @@
 /// Longest wait for a daemon to become ready or to exit.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// A running process of this project; it is killed when dropped.
+pub struct Running {
+    child: Child,
+    name: String,
+}
+
+impl Running {
+    /// Starts `binary` with these arguments, a settings file last.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be started.
+    pub fn start(binary: &str, name: &str, words: &[&str], settings: &Path) -> Self {
+        let child = Command::new(binary)
+            .args(words)
+            .arg("--settings")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "error".to_owned()))
+            .env("ROCKET_LOG_LEVEL", "off")
+            .spawn()
+            .expect("the daemon starts");
+        Self { child, name: name.to_owned() }
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        // A process that has ended already needs no signal.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Tells the process that its settings changed.
+    pub fn reload(&self) {
+        self.signal(libc::SIGHUP);
+    }
+
+    /// Waits until the process exits, and returns its exit code.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not exit.
+    pub async fn exited(&mut self) -> Option<i32> {
+        let started = Instant::now();
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            assert!(started.elapsed() < PATIENCE, "{} does not exit", self.name);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn signal(&self, signal: libc::c_int) {
+        // SAFETY: the process was started here and has not been waited for, so its id is its own.
+        unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 /// A daemon process; it is killed when dropped.
 pub struct Process {
     /// Its settings.
     pub settings: Settings,
-    child: Child,
+    running: Running,
     folder: PathBuf,
 }
 
@@ -37,15 +117,8 @@
     pub fn start_with(binary: &str, settings: Settings, folder: &Path) -> Self {
         let folder = folder.join(settings.vm.as_str());
         let path = write_settings(&settings, &folder);
-        let child = Command::new(binary)
-            .arg("--settings")
-            .arg(path)
-            .stdin(Stdio::null())
-            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_else(|_| "error".to_owned()))
-            .env("ROCKET_LOG_LEVEL", "off")
-            .spawn()
-            .expect("the daemon starts");
-        Self { settings, child, folder }
+        let running = Running::start(binary, &settings.vm, &[], &path);
+        Self { settings, running, folder }
     }
 
     /// Starts the daemon again after it has ended, at the same addresses.
@@ -80,19 +153,17 @@
 
     /// Kills the process at once.
     pub fn kill(&mut self) {
-        // A process that has ended already needs no signal.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.running.kill();
     }
 
     /// Pauses the process.
     pub fn pause(&self) {
-        self.signal(libc::SIGSTOP);
+        self.running.pause();
     }
 
     /// Lets a paused process go on.
     pub fn resume(&self) {
-        self.signal(libc::SIGCONT);
+        self.running.resume();
     }
 
     /// Asks the process to stop, and returns its exit code.
@@ -101,26 +172,8 @@
     ///
     /// Panics when the process does not exit.
     pub async fn stop(&mut self) -> Option<i32> {
-        self.signal(libc::SIGTERM);
-        let started = Instant::now();
-        loop {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return status.code();
-            }
-            assert!(started.elapsed() < PATIENCE, "{} does not exit", self.settings.vm);
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-
-    fn signal(&self, signal: libc::c_int) {
-        // SAFETY: the process was started here and has not been waited for, so its id is its own.
-        unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
+        self.running.terminate();
+        self.running.exited().await
     }
 }
 
