Draw on a program's record with one call, and once for parallel turns

Ruled out: a read before each write; a larger free share, which refuses parallel turns after a loss. Change: open turns count in full; a draw writes what follows the record that the owner knows and reads only after a conflict; a program's parallel turns wait for one draw.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -1,23 +1,27 @@
 //! Reservations of programs' budgets, as the serving daemon and as the owner.
 
 use crate::members::{self, Suspects};
+use crate::records::Records;
 use crate::settings::{Settings, millis};
 use crate::view::View;
 use indexmap::IndexMap;
 use peer::client::Client as Peers;
 use peer::gateway::{Answer, Ask, Member, Settlement};
 use peer::wire::{self, Request};
-use platform::kv::{self, Swap};
+use platform::kv;
 use sched::id::{ProgramId, RequestId, Tokens, VmId};
 use sched::spend::{self, Ledger, Record, Verdict};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::time::timeout;
 
 /// Owners asked for one turn before it is refused.
 const MAX_OWNERS: usize = 3;
-/// Tries of one draw from a program's record against other owners' draws.
-const MAX_DRAWS: usize = 4;
+/// Tries of recording that a program is stopped.
+const MAX_STOPS: usize = 4;
+/// Programs whose draws go on at the same time.
+const DRAW_STRIPES: usize = 32;
 /// Quiet time after which a program's own count is dropped.
 const COUNT_LIFE: Duration = Duration::from_secs(120);
 /// Bound of reading the records, which a turn waits for.
@@ -67,7 +71,9 @@
 pub struct Desk {
     settings: Arc<Settings>,
     view: Arc<View>,
-    kv: kv::Client,
+    records: Records,
+    /// Held while a program draws, so that its parallel turns do not draw one after the other.
+    draws: [tokio::sync::Mutex<()>; DRAW_STRIPES],
     peers: Peers,
     suspects: Suspects,
     ledger: Mutex<Ledger>,
@@ -83,7 +89,8 @@
         Self {
             settings,
             view,
-            kv,
+            records: Records::new(kv),
+            draws: std::array::from_fn(|_| tokio::sync::Mutex::default()),
             peers,
             suspects: Suspects::default(),
             ledger: Mutex::default(),
@@ -197,19 +204,23 @@
         if !fresh && !self.ledger().knows(&ask.program) {
             self.refresh_records().await?;
         }
-        for _ in 0..MAX_DRAWS {
-            let verdict = self.ledger().reserve(ask, fresh, Instant::now());
-            match verdict {
-                Verdict::Granted => return Some(true),
-                Verdict::Exhausted => return Some(false),
-                Verdict::Stop => {
-                    self.stop(ask).await;
-                    return Some(false);
-                }
-                Verdict::Draw { tokens } => self.draw(ask, tokens).await?,
+        let verdict = match self.ledger().reserve(ask, fresh, Instant::now()) {
+            Verdict::Draw(_) => None,
+            verdict => Some(verdict),
+        };
+        let verdict = match verdict {
+            Some(verdict) => verdict,
+            None => self.draw(ask, fresh).await?,
+        };
+        match verdict {
+            Verdict::Granted => Some(true),
+            Verdict::Exhausted => Some(false),
+            Verdict::Stop => {
+                self.stop(ask).await;
+                Some(false)
             }
+            Verdict::Draw(_) => None,
         }
-        None
     }
 
     /// Records that a program's budget is spent, so that no later owner lets it go on.
@@ -227,64 +238,45 @@
                 "the program is stopped"
             );
         }
-        let key = members::record_key(&ask.program);
         let keep_until_ms = unix_ms() + ask.retention.as_millis() as u64;
         let record = Record { budget: ask.budget, drawn: ask.budget, keep_until_ms };
-        let Ok(value) = serde_json::to_vec(&record) else {
-            return;
-        };
-        for _ in 0..MAX_DRAWS {
-            let written = match self.kv.create(&key, &value, None).await {
-                Ok(Swap::Conflict) => self.overwrite(&key, &value).await,
-                other => other,
-            };
-            match written {
-                Ok(Swap::Done(_)) => return,
-                Ok(Swap::Conflict) => {}
-                Err(error) => {
-                    log::warn!(
-                        target: "budget", program = ask.program.as_str();
-                        "the stop is not recorded yet: {error}"
-                    );
-                }
+        for _ in 0..MAX_STOPS {
+            match self.records.update(&ask.program, |_| Some(record)).await {
+                Ok(_) => return,
+                Err(error) => log::warn!(
+                    target: "budget", program = ask.program.as_str();
+                    "the stop is not recorded yet: {error}"
+                ),
             }
         }
     }
 
-    async fn overwrite(&self, key: &str, value: &[u8]) -> Result<Swap, kv::Error> {
-        let revision = self.kv.get(key).await?.map_or(0, |entry| entry.revision);
-        self.kv.swap(key, value, revision, None).await
-    }
-
-    /// Draws from the program's durable record.
-    async fn draw(&self, ask: &spend::Ask, tokens: Tokens) -> Option<()> {
-        let key = members::record_key(&ask.program);
-        for _ in 0..MAX_DRAWS {
-            let entry = self.kv.get(&key).await.ok()?;
-            let found: Option<Record> =
-                entry.as_ref().and_then(|entry| serde_json::from_slice(&entry.value).ok());
-            let revision = entry.map_or(0, |entry| entry.revision);
-            let Some(record) = self.ledger().drawn(ask, found, tokens, unix_ms()) else {
-                self.ledger().exhaust(&ask.program);
-                return Some(());
-            };
-            let value = serde_json::to_vec(&record).ok()?;
-            match self.kv.swap(&key, &value, revision, None).await {
-                Ok(Swap::Done(_)) => {
-                    self.ledger().draw(&ask.program, tokens);
-                    return Some(());
-                }
-                Ok(Swap::Conflict) => {}
-                Err(error) => {
-                    log::warn!(
-                        target: "budget", program = ask.program.as_str();
-                        "the budget's record cannot be written: {error}"
-                    );
-                    return None;
-                }
+    /// Draws from the program's durable record, unless another turn has drawn enough meanwhile.
+    async fn draw(&self, ask: &spend::Ask, fresh: bool) -> Option<Verdict> {
+        let stripe = members::stripe(&ask.program, self.draws.len());
+        let _held = self.draws[stripe].lock().await;
+        let verdict = self.ledger().reserve(ask, fresh, Instant::now());
+        let Verdict::Draw(draw) = verdict else {
+            return Some(verdict);
+        };
+        let taken = AtomicU64::new(0);
+        let drawn = self.records.update(&ask.program, |found| {
+            let (record, tokens) = spend::drawn(ask, found, draw, unix_ms())?;
+            taken.store(tokens, Ordering::Relaxed);
+            Some(record)
+        });
+        match drawn.await {
+            Ok(true) => self.ledger().draw(&ask.program, taken.into_inner()),
+            Ok(false) => self.ledger().exhaust(&ask.program),
+            Err(error) => {
+                log::warn!(
+                    target: "budget", program = ask.program.as_str();
+                    "the budget's record cannot be written: {error}"
+                );
+                return None;
             }
         }
-        None
+        Some(self.ledger().reserve(ask, fresh, Instant::now()))
     }
 
     /// Reads all durable records, unless that was done just now.
@@ -302,14 +294,10 @@
             // Others need not read them at the same time.
             *self.records_read() = Some(now);
         }
-        let listing = timeout(RECORDS_TIMEOUT, self.kv.list(members::RECORDS, "")).await;
+        let listing = timeout(RECORDS_TIMEOUT, self.records.list()).await;
         let late = || kv::Error::Unknown("the listing takes too long".to_owned());
         match listing.unwrap_or_else(|_| Err(late())) {
-            Ok(listing) => {
-                let records = listing.entries.iter().filter_map(|entry| {
-                    let program = entry.key.strip_prefix(members::RECORDS)?;
-                    Some((program.into(), serde_json::from_slice(&entry.value).ok()?))
-                });
+            Ok(records) => {
                 self.ledger().learn(records);
                 *self.records_read() = Some(now);
                 Some(())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! * [`view`] is what the daemon believes of the configuration, the endpoints and its peers;
 //! * [`follow`] keeps the view up to date from the key-value service, and from peers when the
 //!   service turns this daemon away;
-//! * [`desk`] reserves tokens of programs' budgets at their owners;
+//! * [`desk`] reserves tokens of programs' budgets at their owners, [`records`] keeps what of them
+//!   must last;
 //! * [`retire`] answers requests to empty a storage VM;
 //! * [`probes`] answers readiness and metrics, [`daemon`] starts and stops the parts.
 //!
@@ -26,6 +27,7 @@
 pub mod members;
 pub mod peers;
 pub mod probes;
+pub mod records;
 pub mod relay;
 pub mod retire;
 pub mod settings;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -31,6 +31,11 @@
     format_compact!("{RECORDS}{program}")
 }
 
+/// Number of the stripe, among `count`, that a program belongs to.
+pub fn stripe(program: &str, count: usize) -> usize {
+    (members::weight(&program, "") % count as u64) as usize
+}
+
 /// Members that could not be reached lately.
 #[derive(Default)]
 pub struct Suspects(Mutex<IndexMap<VmId, Instant>>);
--- /dev/null
+++ b/crates/gateway/src/records.rs
@@ -0,0 +1,110 @@
+//! Durable records of programs' budgets in the key-value service.
+//!
+//! An owner writes a record as the follower of what it knows of it, without reading it first; where
+//! another owner wrote meanwhile, the write conflicts and the record is read. A draw therefore costs
+//! one call in the usual case.
+
+use crate::members;
+use indexmap::IndexMap;
+use platform::kv::{Client, Error, Revision, Swap};
+use sched::id::ProgramId;
+use sched::spend::Record;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Tries of one update against those of other owners.
+const MAX_TRIES: u32 = 4;
+/// Records whose revisions are kept; the oldest are dropped first.
+const MAX_KNOWN: usize = 10_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    revision: Revision,
+    record: Option<Record>,
+}
+
+/// Records that this daemon has written or read.
+pub struct Records {
+    kv: Client,
+    known: Mutex<IndexMap<ProgramId, Known>>,
+}
+
+impl Records {
+    /// Prepares updates through `kv`.
+    pub fn new(kv: Client) -> Self {
+        Self { kv, known: Mutex::default() }
+    }
+
+    fn known(&self) -> MutexGuard<'_, IndexMap<ProgramId, Known>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn keep(&self, program: &str, known: Known) {
+        let mut all = self.known();
+        if all.len() >= MAX_KNOWN && !all.contains_key(program) {
+            all.swap_remove_index(0);
+        }
+        all.insert(program.into(), known);
+    }
+
+    /// Replaces a record by what `change` makes of it.
+    ///
+    /// Returns whether `change` wanted a replacement.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the service is out of reach; the update may have taken effect.
+    pub async fn update(
+        &self,
+        program: &str,
+        change: impl Fn(Option<Record>) -> Option<Record>,
+    ) -> Result<bool, Error> {
+        let key = members::record_key(program);
+        let mut known = self.known().get(program).copied().unwrap_or_default();
+        let mut read = false;
+        for _ in 0..MAX_TRIES {
+            let Some(record) = change(known.record) else {
+                if read {
+                    return Ok(false);
+                }
+                known = self.read(program).await?;
+                read = true;
+                continue;
+            };
+            let value =
+                serde_json::to_vec(&record).map_err(|error| Error::Malformed(error.to_string()))?;
+            if let Swap::Done(revision) = self.kv.swap(&key, &value, known.revision, None).await? {
+                self.keep(program, Known { revision, record: Some(record) });
+                return Ok(true);
+            }
+            known = self.read(program).await?;
+            read = true;
+        }
+        Err(Error::Refused("other owners change the record too".to_owned()))
+    }
+
+    async fn read(&self, program: &str) -> Result<Known, Error> {
+        let known = match self.kv.get(&members::record_key(program)).await? {
+            Some(entry) => Known {
+                revision: entry.revision,
+                record: serde_json::from_slice(&entry.value).ok(),
+            },
+            None => Known::default(),
+        };
+        self.keep(program, known);
+        Ok(known)
+    }
+
+    /// Reads all records.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the service is out of reach.
+    pub async fn list(&self) -> Result<Vec<(ProgramId, Record)>, Error> {
+        let listing = self.kv.list(members::RECORDS, "").await?;
+        let records = listing.entries.iter().filter_map(|entry| {
+            let program = entry.key.strip_prefix(members::RECORDS)?;
+            Some((program.into(), serde_json::from_slice(&entry.value).ok()?))
+        });
+        Ok(records.collect())
+    }
+}
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -12,9 +12,8 @@
 //! * an owner that has not been there from the start charges an unknown program the free share, the
 //!   most that can have been spent without a record.
 //!
-//! What is known to be spent or reserved is counted in full. A charge is a bound that few programs
-//! reach, so turns beside it are counted by what they are expected to hand out; otherwise every
-//! program that goes on after a loss would be refused.
+//! What is handed out may exceed the budget by one turn's most. Owners keep that in reserve: only a
+//! charge, which few programs have really spent, may reach into it.
 
 use crate::id::{ProgramId, RequestId, Tokens, VmId};
 use indexmap::IndexMap;
@@ -25,8 +24,8 @@
 ///
 /// Programs that end by themselves rarely spend as much, so few of them ever draw.
 const FREE_SHARE: f64 = 0.5;
-/// Part of its most that a turn is expected to hand out.
-const EXPECTED_PART: Tokens = 2;
+/// Turns whose most is spent without a durable record, however small the budget.
+const FREE_TURNS: f64 = 1.5;
 /// Share of a budget that one draw from the record takes at least.
 const DRAW_SHARE: f64 = 0.2;
 /// Time after which a reservation that was never settled is charged in full; its daemon is gone.
@@ -72,10 +71,16 @@
     /// The budget does not hold it, which is to be recorded.
     Stop,
     /// More must be drawn from the durable record first.
-    Draw {
-        /// Tokens to add to the record's.
-        tokens: Tokens,
-    },
+    Draw(Draw),
+}
+
+/// Tokens to add to a program's durable record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Draw {
+    /// Tokens without which the turn cannot run.
+    pub needed: Tokens,
+    /// Tokens that spare the next turns a draw.
+    pub wanted: Tokens,
 }
 
 /// What an owner knows of a program.
@@ -152,6 +157,29 @@
     (budget as f64 * share) as Tokens
 }
 
+/// Tokens that a program spends without a durable record.
+fn free(ask: &Ask) -> Tokens {
+    let turns = share(ask.most, FREE_TURNS);
+    share(ask.budget, FREE_SHARE).max(turns).min(ask.budget)
+}
+
+/// Computes the record that follows `found` when more is drawn for the ask's program, and the tokens
+/// drawn.
+///
+/// Returns `None` when the record leaves less than is needed.
+pub fn drawn(
+    ask: &Ask,
+    found: Option<Record>,
+    draw: Draw,
+    now_ms: u64,
+) -> Option<(Record, Tokens)> {
+    let before = found.map_or(free(ask), |record| record.drawn);
+    let tokens = draw.wanted.min(ask.budget.saturating_sub(before));
+    let keep_until_ms = now_ms + ask.retention.as_millis() as u64;
+    let record = Record { budget: ask.budget, drawn: before + tokens, keep_until_ms };
+    (tokens >= draw.needed).then_some((record, tokens))
+}
+
 /// Accounts of the programs that this daemon owns.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -173,7 +201,7 @@
     pub fn reserve(&mut self, ask: &Ask, fresh: bool, now: Instant) -> Verdict {
         let record = self.records.get(&ask.program).copied();
         let account = self.accounts.entry(ask.program.clone()).or_insert_with(|| {
-            let free = share(ask.budget, FREE_SHARE);
+            let free = free(ask);
             let assumed = match record {
                 Some(record) => record.drawn,
                 None if fresh => 0,
@@ -196,40 +224,24 @@
         account.declare(&ask.daemon, ask.handed_out);
         let open = account.reserved() + ask.most;
         let known = account.known() + open;
-        let charged = account.assumed + account.known() + open / EXPECTED_PART;
+        let charged = account.assumed + account.known() + open;
         if account.stopped {
             return Verdict::Exhausted;
         }
-        if known > account.budget || charged > account.budget {
+        if known > account.budget || charged > account.budget + ask.most {
             account.stopped = true;
             return Verdict::Stop;
         }
-        let needed = account.known() + open / EXPECTED_PART;
-        if needed > account.allowed {
-            let tokens = (needed - account.allowed).max(share(account.budget, DRAW_SHARE));
-            return Verdict::Draw { tokens: tokens.min(account.budget - account.allowed) };
+        if known > account.allowed {
+            let needed = known - account.allowed;
+            let wanted = needed.max(share(account.budget, DRAW_SHARE));
+            return Verdict::Draw(Draw { needed, wanted });
         }
         let reservation = Reservation { most: ask.most, since: now };
         account.reservations.insert(ask.request.clone(), reservation);
         Verdict::Granted
     }
 
-    /// Computes the record that follows `found` when `tokens` more are drawn for `program`.
-    ///
-    /// Returns `None` when other owners have drawn the budget already.
-    pub fn drawn(
-        &self,
-        ask: &Ask,
-        found: Option<Record>,
-        tokens: Tokens,
-        now_ms: u64,
-    ) -> Option<Record> {
-        let before = found.map_or(share(ask.budget, FREE_SHARE), |record| record.drawn);
-        let drawn = before + tokens;
-        let keep_until_ms = now_ms + ask.retention.as_millis() as u64;
-        (drawn <= ask.budget).then_some(Record { budget: ask.budget, drawn, keep_until_ms })
-    }
-
     /// Tells whether the owner knows a program already.
     pub fn knows(&self, program: &str) -> bool {
         self.accounts.contains_key(program)
--- a/crates/sched/tests/spend.rs
+++ b/crates/sched/tests/spend.rs
@@ -1,6 +1,6 @@
 //! Budgets of programs over several owners and daemons.
 
-use sched::spend::{Ask, Ledger, Record, Verdict};
+use sched::spend::{self, Ask, Draw, Ledger, Record, Verdict};
 use std::time::{Duration, Instant};
 
 const BUDGET: u64 = 1_000;
@@ -26,7 +26,7 @@
         loop {
             match ledger.reserve(&turn, fresh, now) {
                 Verdict::Granted => break,
-                Verdict::Draw { tokens } => ledger.draw("p", tokens),
+                Verdict::Draw(draw) => ledger.draw("p", draw.wanted),
                 Verdict::Stop | Verdict::Exhausted => return handed_out,
             }
         }
@@ -58,7 +58,7 @@
             loop {
                 match ledger.reserve(&turn, true, now) {
                     Verdict::Granted => { granted += MOST; break }
-                    Verdict::Draw { tokens } => ledger.draw("p", tokens),
+                    Verdict::Draw(draw) => ledger.draw("p", draw.wanted),
                     Verdict::Stop | Verdict::Exhausted => break,
                 }
             }
@@ -131,12 +131,12 @@
     }
 
     owners_cannot_draw_more_than_the_budget_together {
-        let (first, second) = (Ledger::default(), Ledger::default());
         let turn = ask("r", "a", 0);
-        let record = first.drawn(&turn, None, 300, 0).expect("half of the budget is left");
-        assert_eq!(record.drawn, 800);
-        assert_eq!(second.drawn(&turn, Some(record), 300, 0), None);
-        let record = second.drawn(&turn, Some(record), 200, 0).expect("a fifth is left");
-        assert_eq!(record.drawn, BUDGET);
+        let draw = Draw { needed: 100, wanted: 300 };
+        let (record, tokens) = spend::drawn(&turn, None, draw, 0).expect("half is left");
+        assert_eq!((record.drawn, tokens), (800, 300));
+        let (record, tokens) = spend::drawn(&turn, Some(record), draw, 0).expect("a fifth is left");
+        assert_eq!((record.drawn, tokens), (BUDGET, 200));
+        assert_eq!(spend::drawn(&turn, Some(record), draw, 0), None);
     }
 }
