Let a few daemons watch the key-value service for the others

Change: members with the highest hashes are delegates, three and one more for each 24 daemons; the others follow two delegates over h2, with changes instead of whole views and a beat every 300 ms, and watch the service themselves when no watching delegate is heard for 900 ms.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,7 +5,7 @@
 //! balancer takes a while to see it; then connections close after their request under way.
 
 use crate::desk::Desk;
-use crate::follow::{Follower, Health, Part};
+use crate::follow::{FEEDS, Follower, Part, Sources};
 use crate::forward::Context as Shared;
 use crate::ingress::{self, Flights, Phase};
 use crate::members;
@@ -40,17 +40,19 @@
     let kv = Client::new(&settings.kv, bound).context("key-value client")?;
     let view = Arc::new(View::default());
     let desk = Arc::new(Desk::new(settings.clone(), view.clone(), kv.clone()));
+    let sources = Arc::new(Sources::new(Instant::now()));
     let phase = watch::Sender::new(Phase::Serving);
     let flights = Flights::default();
     let context = Arc::new(Shared::new(settings.clone(), view.clone(), desk.clone()));
     let traffic = {
         let (settings, phase, flights) = (settings.clone(), phase.subscribe(), flights.clone());
         let (context, desk, view) = (context.clone(), desk.clone(), view.clone());
+        let sources = sources.clone();
         let runtime = runtime()?;
         let serve = async move {
             let listener = bind(&settings).await?;
             let peers = TcpListener::bind(settings.peer_addr).await?;
-            tokio::spawn(serve_peers(peers, settings.clone(), desk, view));
+            tokio::spawn(serve_peers(peers, settings.clone(), desk, view, sources));
             ingress::serve(listener, context, phase, flights).await;
             anyhow::Ok(())
         };
@@ -62,19 +64,20 @@
         })
     };
     traffic.context("the traffic thread cannot start")?;
-    let health = Arc::new(Health::default());
     let follower = Follower {
         settings: settings.clone(),
         view: view.clone(),
         kv: kv.clone(),
         desk: desk.clone(),
-        health,
+        sources,
         retired: Arc::default(),
     };
     runtime()?.block_on(async {
         tokio::spawn(follower.clone().keep(Part::Configuration));
         tokio::spawn(follower.clone().keep(Part::Directory));
-        tokio::spawn(follower.peers());
+        for slot in 0..FEEDS {
+            tokio::spawn(follower.clone().feed(slot));
+        }
         let probe = Probe { view, phase: phase.subscribe() };
         let addr = settings.probe_addr;
         tokio::spawn(async move {
@@ -131,9 +134,10 @@
     settings: Arc<Settings>,
     desk: Arc<Desk>,
     view: Arc<View>,
+    sources: Arc<Sources>,
 ) {
     let key: Arc<[u8]> = settings.cluster_key.as_bytes().into();
-    let handle = move |request, outbox| peers::take(request, outbox, &desk, &view);
+    let handle = move |request, outbox| peers::take(request, outbox, &desk, &view, &sources);
     if let Err(error) = peer::server::serve(listener, key, handle).await {
         log::error!("peers are not served any more: {error}");
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,22 +1,27 @@
 //! Keeps the view up to date.
 //!
-//! One task watches the configuration and one the registrations and members, each from a listing on.
-//! A watch that fails starts again from a listing. While any of them fails, the daemon follows peers,
-//! since the service may turn some daemons away and serve others.
+//! A few daemons, the delegates, watch the key-value service; the others follow two delegates each,
+//! so the service's load grows more slowly than the fleet. The delegates are the members with the
+//! highest hashes, and before any members are known the daemons that the settings name. A daemon
+//! watches the service itself as soon as no delegate that watches it has been heard for a moment: a
+//! delegate may be frozen or cut off, and the service may turn some daemons away and serve others.
+//!
+//! A watch starts from a listing and starts again from one when it fails.
 
 use crate::desk::Desk;
 use crate::settings::{Settings, millis};
-use crate::view::{Change, View};
+use crate::view::View;
 use crate::{members, retire};
+use compact_str::CompactString;
 use indexmap::IndexMap;
-use peer::gateway::{Answer, Ask, Member};
+use peer::gateway::{Answer, Ask, Change, Member};
 use peer::wire::{Reply, Request};
 use platform::kv::{Client, Entry, Error, Event};
 use platform::{config, registry};
 use sched::fleet::Registration;
 use sched::id::VmId;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
@@ -26,32 +31,52 @@
 const RETRY: Duration = Duration::from_millis(150);
 /// Longest pause before a failed watch starts again.
 const RETRY_MAX: Duration = Duration::from_millis(800);
-/// Pause between looks whether peers have to be followed.
-const FOLLOW_CHECK: Duration = Duration::from_millis(100);
-/// Silence after which another peer is followed.
-const FOLLOW_SILENCE: Duration = Duration::from_secs(5);
+/// Silence after which a delegate does not count as heard.
+const FEED_SILENCE: Duration = Duration::from_millis(900);
+/// Time that delegates have to be heard for the first time before a daemon watches itself.
+const FIRST_FEED: Duration = Duration::from_millis(500);
+/// Interval of looks whether this daemon has to watch.
+const ROLE_CHECK: Duration = Duration::from_millis(200);
+/// Pause before another delegate is followed.
+const FEED_RETRY: Duration = Duration::from_millis(100);
+/// Delegates that each daemon follows.
+pub const FEEDS: usize = 2;
 
-/// Watches that fail at present.
-#[derive(Default)]
-pub struct Health {
-    failing: AtomicU32,
+/// Where the view comes from at present.
+pub struct Sources {
+    started: Instant,
+    watching: [AtomicBool; 2],
+    heard: Mutex<[Option<Instant>; FEEDS]>,
 }
 
-impl Health {
-    /// Tells whether the service cannot be watched.
-    pub fn failing(&self) -> bool {
-        self.failing.load(Ordering::Relaxed) > 0
+impl Sources {
+    /// Starts without any source.
+    pub fn new(now: Instant) -> Self {
+        Self { started: now, watching: Default::default(), heard: Mutex::default() }
+    }
+
+    /// Tells whether this daemon watches the key-value service and is answered.
+    pub fn watching(&self) -> bool {
+        self.watching.iter().all(|watching| watching.load(Ordering::Relaxed))
     }
 
-    fn lost(&self, what: &str, error: &Error) {
-        if self.failing.fetch_add(1, Ordering::Relaxed) == 0 {
-            log::warn!(target: "platform", watch = what; "the key-value service is lost: {error}");
+    fn heard(&self) -> MutexGuard<'_, [Option<Instant>; FEEDS]> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether a delegate that watches the service has been heard lately.
+    fn fed(&self, now: Instant) -> bool {
+        if now.duration_since(self.started) < FIRST_FEED {
+            return true;
         }
+        let heard = *self.heard();
+        heard.iter().flatten().any(|at| now.duration_since(*at) < FEED_SILENCE)
     }
 
-    fn regained(&self) {
-        if self.failing.fetch_sub(1, Ordering::Relaxed) == 1 {
-            log::info!(target: "platform", "the key-value service is back");
+    fn set(&self, part: Part, watching: bool, why: &str) {
+        let before = self.watching[part as usize].swap(watching, Ordering::Relaxed);
+        if before != watching {
+            log::info!(target: "platform", watch = part.prefix(), watching; "{why}");
         }
     }
 }
@@ -85,55 +110,65 @@
     pub kv: Client,
     /// Connections to peers.
     pub desk: Arc<Desk>,
-    /// Whether the watches work.
-    pub health: Arc<Health>,
+    /// Where the view comes from.
+    pub sources: Arc<Sources>,
     /// Requests to empty a storage VM that were taken up, with their revisions.
     pub retired: Arc<Mutex<IndexMap<VmId, u64>>>,
 }
 
 impl Follower {
-    /// Keeps one part of the view up to date: lists, then watches, and starts again whenever that
-    /// fails.
+    /// Keeps one part of the view up to date while this daemon has to watch it.
     pub async fn keep(self, part: Part) {
         let mut pause = RETRY;
-        let mut failing = false;
         loop {
-            let result = self.watch(part, &mut failing, &mut pause).await;
-            if let Err(error) = result {
+            while !self.has_to_watch(Instant::now()) {
+                sleep(ROLE_CHECK).await;
+            }
+            if let Err(error) = self.watch(part, &mut pause).await {
                 if matches!(error, Error::Compacted) {
                     continue;
                 }
-                if !failing {
-                    failing = true;
-                    self.health.lost(part.prefix(), &error);
-                }
+                self.sources.set(part, false, &format!("the key-value service is lost: {error}"));
+                sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+                pause = (pause * 2).min(RETRY_MAX);
             }
-            sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
-            pause = (pause * 2).min(RETRY_MAX);
         }
     }
 
-    async fn watch(
-        &self,
-        part: Part,
-        failing: &mut bool,
-        pause: &mut Duration,
-    ) -> Result<(), Error> {
+    /// Watches until the service fails or this daemon need not watch any more.
+    async fn watch(&self, part: Part, pause: &mut Duration) -> Result<(), Error> {
         let listing = self.kv.list(part.prefix(), "").await?;
         match part {
             Part::Configuration => listing.entries.iter().for_each(|entry| self.configure(entry)),
             Part::Directory => self.replace(&listing.entries, listing.revision),
         }
-        if std::mem::take(failing) {
-            self.health.regained();
-        }
+        self.sources.set(part, true, "the key-value service answers");
         *pause = RETRY;
         let mut after = listing.revision;
-        loop {
+        while self.has_to_watch(Instant::now()) {
             let (events, revision) = self.kv.changes(part.prefix(), after).await?;
             after = revision;
             self.apply(part, events, revision);
         }
+        self.sources.set(part, false, "delegates watch for this daemon");
+        Ok(())
+    }
+
+    fn has_to_watch(&self, now: Instant) -> bool {
+        self.delegates().contains(&self.own_addr()) || !self.sources.fed(now)
+    }
+
+    fn own_addr(&self) -> CompactString {
+        compact_str::format_compact!("{}", self.settings.peer_addr)
+    }
+
+    /// Addresses of the daemons that watch for the others.
+    fn delegates(&self) -> Vec<CompactString> {
+        let found = self.view.with_members(members::delegates);
+        match found.is_empty() {
+            true => self.settings.seeds.clone(),
+            false => found,
+        }
     }
 
     fn apply(&self, part: Part, events: Vec<Event>, revision: u64) {
@@ -183,55 +218,62 @@
         self.view.replace(registrations, members, revision, Instant::now());
     }
 
-    /// Follows peers while the service cannot be watched.
-    pub async fn peers(self) {
+    /// Follows one delegate after the other; `slot` keeps the feeds of one daemon apart.
+    pub async fn feed(self, slot: usize) {
+        let mut turn = slot;
         loop {
-            sleep(FOLLOW_CHECK).await;
-            if self.health.failing() || !self.view.complete() {
-                self.follow_one().await;
+            let own = self.own_addr();
+            let mut delegates = self.delegates();
+            if self.sources.watching() && delegates.contains(&own) {
+                sleep(ROLE_CHECK).await;
+                continue;
             }
+            delegates.retain(|addr| *addr != own);
+            if !delegates.is_empty() {
+                // Daemons start at different delegates, so that these share the followers.
+                let shift = sched::members::weight(&slot, &own) as usize;
+                let chosen = (shift % delegates.len() + turn) % delegates.len();
+                self.follow(&delegates[chosen], slot).await;
+                turn += 1;
+            }
+            sleep(FEED_RETRY).await;
         }
     }
 
-    async fn follow_one(&self) {
-        let Some(addr) = self.some_peer() else {
-            return;
-        };
+    /// Follows a peer until it is silent, or does not watch while others might.
+    async fn follow(&self, addr: &str, slot: usize) {
         let version = self.view.table().map(|table| table.version);
         let request = Request::Gateway(Box::new(Ask::Follow { version }));
         let bound = millis(self.settings.limits.peer_timeout_ms);
-        let Ok(Ok(mut replies)) = timeout(bound, self.desk.peers().call(&addr, &request)).await
+        let Ok(Ok(mut replies)) = timeout(bound, self.desk.peers().call(addr, &request)).await
         else {
-            self.desk.peers().forget(&addr);
+            self.desk.peers().forget(addr);
             return;
         };
-        while self.health.failing() || !self.view.complete() {
-            match timeout(FOLLOW_SILENCE, replies.next()).await {
-                Ok(Ok(Some(Reply::Gateway(Answer::View(view))))) => {
-                    let revision = view.revision;
-                    if self.view.merge(*view, Instant::now()) {
-                        log::info!(
-                            target: "follow", peer = addr.as_str(), revision;
-                            "took a peer's view"
-                        );
-                    }
+        loop {
+            let Ok(Ok(Some(Reply::Gateway(answer)))) = timeout(FEED_SILENCE, replies.next()).await
+            else {
+                self.desk.peers().forget(addr);
+                return;
+            };
+            let now = Instant::now();
+            let watching = match answer {
+                Answer::View { view, watching } => {
+                    self.view.merge(*view, now);
+                    watching
+                }
+                Answer::Changes { changes, watching } => {
+                    self.view.merge_changes(*changes, now);
+                    watching
                 }
-                _ => return,
+                Answer::Pending | Answer::Reserved(_) => return,
+            };
+            if !watching {
+                return;
             }
+            self.sources.heard()[slot] = Some(now);
         }
     }
-
-    fn some_peer(&self) -> Option<String> {
-        let known = self.view.members();
-        let others = known.values().filter(|member| member.vm != self.settings.vm);
-        let mut addrs: Vec<String> = others.map(|member| member.addr.to_string()).collect();
-        if addrs.is_empty() {
-            let own = self.settings.peer_addr.to_string();
-            let seeds = self.settings.seeds.iter().filter(|seed| **seed != own);
-            addrs = seeds.map(ToString::to_string).collect();
-        }
-        fastrand::choice(addrs)
-    }
 }
 
 fn registration(entry: &Entry) -> Option<Registration> {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -31,6 +31,19 @@
     format_compact!("{RECORDS}{program}")
 }
 
+/// Delegates of a small fleet.
+const MIN_DELEGATES: usize = 3;
+/// Followers that one delegate serves in a large fleet.
+const FOLLOWERS_PER_DELEGATE: usize = 24;
+
+/// Addresses of the members that watch the key-value service for the others.
+pub fn delegates(live: &IndexMap<VmId, Member>) -> Vec<CompactString> {
+    let count = MIN_DELEGATES + live.len() / FOLLOWERS_PER_DELEGATE;
+    let mut ranked: Vec<&Member> = live.values().collect();
+    ranked.sort_by_key(|member| std::cmp::Reverse(members::weight(&"delegate", &member.vm)));
+    ranked.into_iter().take(count).map(|member| member.addr.clone()).collect()
+}
+
 /// Number of the stripe, among `count`, that a program belongs to.
 pub fn stripe(program: &str, count: usize) -> usize {
     (members::weight(&program, "") % count as u64) as usize
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,8 +1,9 @@
 //! Answers to other gateways.
 
 use crate::desk::Desk;
+use crate::follow::Sources;
 use crate::members;
-use crate::view::View;
+use crate::view::{Cursor, News, View};
 use peer::gateway::{Answer, Ask};
 use peer::server::Outbox;
 use peer::wire::{Reply, Request};
@@ -12,11 +13,17 @@
 
 /// Time after which an asker is told that its answer waits for the platform.
 const PENDING_AFTER: Duration = Duration::from_millis(30);
-/// Interval at which a quiet view is sent again, so that the follower knows that it is followed.
-const FOLLOW_BEAT: Duration = Duration::from_secs(2);
+/// Interval of frames to followers while nothing changes.
+const FOLLOW_BEAT: Duration = Duration::from_millis(300);
 
 /// Answers one question.
-pub fn take(request: Request, outbox: Outbox, desk: &Arc<Desk>, view: &Arc<View>) {
+pub fn take(
+    request: Request,
+    outbox: Outbox,
+    desk: &Arc<Desk>,
+    view: &Arc<View>,
+    sources: &Arc<Sources>,
+) {
     let Request::Gateway(ask) = request else {
         log::warn!(target: "peers", "a daemon of another kind asks this gateway");
         return;
@@ -45,18 +52,21 @@
         }
         Ask::Settle(settlement) => desk.settle(&settlement),
         Ask::Follow { version } => {
-            tokio::spawn(follow(version, outbox, view.clone()));
+            let cursor = Cursor::new(version);
+            tokio::spawn(follow(cursor, outbox, view.clone(), sources.clone()));
         }
     }
 }
 
-async fn follow(mut version: Option<u64>, outbox: Outbox, view: Arc<View>) {
+async fn follow(mut cursor: Cursor, outbox: Outbox, view: Arc<View>, sources: Arc<Sources>) {
     let mut changes = view.subscribe();
     loop {
         changes.mark_unchanged();
-        let exported = view.export(version);
-        version = exported.table.as_ref().map(|table| table.version).or(version);
-        let answer = Answer::View(Box::new(exported));
+        let watching = sources.watching();
+        let answer = match view.news(&mut cursor) {
+            News::View(view) => Answer::View { view: Box::new(view), watching },
+            News::Changes(changes) => Answer::Changes { changes: Box::new(changes), watching },
+        };
         if outbox.send(Reply::Gateway(answer)).await.is_err() {
             return;
         }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -6,26 +6,17 @@
 
 use compact_str::CompactString;
 use indexmap::{IndexMap, IndexSet};
-use peer::gateway::{Member, View as Exported};
+use peer::gateway::{Change, Changes, Member, View as Exported};
 use sched::fleet::{Fleet, Registration};
 use sched::id::{EndpointId, VmId};
 use sched::route::Table;
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-/// Change of a registration.
-#[derive(Clone, Debug)]
-pub enum Change {
-    /// The endpoint registered.
-    Registered(Registration),
-    /// The registration is gone.
-    Vanished(EndpointId),
-    /// A daemon is live.
-    Joined(Member),
-    /// A daemon is gone.
-    Left(VmId),
-}
+/// Changes that are kept for followers; one that falls further behind gets the whole view.
+const MAX_KEPT: usize = 512;
 
 #[derive(Default)]
 struct State {
@@ -33,6 +24,9 @@
     fleet: Fleet,
     members: IndexMap<VmId, Member>,
     revision: u64,
+    /// The last changes, and the number of all before them.
+    kept: VecDeque<Change>,
+    dropped: u64,
     /// When a daemon last left or started again, which moves the ownership of budgets.
     disturbed: Option<Instant>,
 }
@@ -43,6 +37,44 @@
     changed: watch::Sender<u64>,
 }
 
+impl State {
+    fn keep(&mut self, change: Change) {
+        self.kept.push_back(change);
+        if self.kept.len() > MAX_KEPT {
+            self.kept.pop_front();
+            self.dropped += 1;
+        }
+    }
+
+    /// Number of the next change.
+    fn next(&self) -> u64 {
+        self.dropped + self.kept.len() as u64
+    }
+}
+
+/// How far a follower has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Cursor {
+    /// Version of the configuration that it has.
+    pub version: Option<u64>,
+    next: Option<u64>,
+}
+
+impl Cursor {
+    /// Starts a follower that has this version of the configuration.
+    pub fn new(version: Option<u64>) -> Self {
+        Self { version, next: None }
+    }
+}
+
+/// What a follower is sent.
+pub enum News {
+    /// The whole view.
+    View(Exported),
+    /// What changed.
+    Changes(Changes),
+}
+
 impl Default for View {
     fn default() -> Self {
         Self { state: Mutex::default(), changed: watch::Sender::new(0) }
@@ -116,6 +148,7 @@
             let mut state = self.lock();
             state.fleet.sweep(now);
             for change in changes {
+                state.keep(change.clone());
                 apply(&mut state, change, now);
             }
             state.revision = state.revision.max(revision);
@@ -145,6 +178,9 @@
                 state.disturbed = Some(now);
             }
             state.members = members;
+            // Followers cannot tell what changed, so they get the whole view.
+            state.dropped += state.kept.len() as u64 + 1;
+            state.kept.clear();
             state.revision = state.revision.max(revision);
         }
         self.notify();
@@ -162,15 +198,36 @@
         true
     }
 
-    /// The view for a peer that knows the configuration `version` already.
-    pub fn export(&self, version: Option<u64>) -> Exported {
+    /// Takes in what changed at a peer, where it is newer than this daemon's view.
+    pub fn merge_changes(&self, changes: Changes, now: Instant) {
+        if let Some(table) = changes.table {
+            self.configure(table);
+        }
+        if changes.revision > self.revision() {
+            self.apply(changes.changes, changes.revision, now);
+        }
+    }
+
+    /// What a follower has to be sent next.
+    pub fn news(&self, cursor: &mut Cursor) -> News {
         let state = self.lock();
-        let newer = state.table.as_ref().filter(|table| Some(table.version) > version);
-        Exported {
-            table: newer.map(|table| Table::clone(table)),
-            registrations: state.fleet.registrations(),
-            members: state.members.values().cloned().collect(),
-            revision: state.revision,
+        let newer = state.table.as_ref().filter(|table| Some(table.version) > cursor.version);
+        let table = newer.map(|table| Table::clone(table));
+        cursor.version = table.as_ref().map(|table| table.version).or(cursor.version);
+        let behind = cursor.next.and_then(|next| next.checked_sub(state.dropped));
+        cursor.next = Some(state.next());
+        let revision = state.revision;
+        match behind {
+            Some(behind) => {
+                let changes = state.kept.iter().skip(behind as usize).cloned().collect();
+                News::Changes(Changes { table, changes, revision })
+            }
+            None => News::View(Exported {
+                table,
+                registrations: state.fleet.registrations(),
+                members: state.members.values().cloned().collect(),
+                revision,
+            }),
         }
     }
 
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use sched::fleet::Registration;
-use sched::id::{DcId, ProgramId, RequestId, Tokens, Version, VmId};
+use sched::id::{DcId, EndpointId, ProgramId, RequestId, Tokens, Version, VmId};
 use sched::route::Table;
 use sched::spend;
 use serde::{Deserialize, Serialize};
@@ -20,6 +20,30 @@
     pub incarnation: u64,
 }
 
+/// Change of what lies in the key-value service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// An endpoint registered.
+    Registered(Registration),
+    /// An endpoint's registration is gone.
+    Vanished(EndpointId),
+    /// A daemon is live.
+    Joined(Member),
+    /// A daemon is gone.
+    Left(VmId),
+}
+
+/// What changed since the frame before.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Changes {
+    /// The configuration, where it changed.
+    pub table: Option<Table>,
+    /// Changes in order.
+    pub changes: Vec<Change>,
+    /// Revision of the key-value service up to which this holds.
+    pub revision: u64,
+}
+
 /// What a gateway daemon believes of the configuration, the endpoints and its peers.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct View {
@@ -53,7 +77,7 @@
     Reserve(spend::Ask),
     /// Settles a turn at the owner of its program's budget; not answered.
     Settle(Settlement),
-    /// Asks for the view, now and whenever it changes.
+    /// Asks for the view, and then for what changes.
     Follow {
         /// Version of the configuration that the asker has.
         version: Option<Version>,
@@ -67,6 +91,18 @@
     Pending,
     /// Whether a turn may run; `None` when the owner cannot tell.
     Reserved(Option<bool>),
-    /// The view.
-    View(Box<View>),
+    /// The view; first frame for a follower, and again for one that fell behind.
+    View {
+        /// The view.
+        view: Box<View>,
+        /// Whether the sender watches the key-value service itself.
+        watching: bool,
+    },
+    /// What changed; sent also when nothing did, so that silence means trouble.
+    Changes {
+        /// The changes.
+        changes: Box<Changes>,
+        /// Whether the sender watches the key-value service itself.
+        watching: bool,
+    },
 }
