Do not let turns wait for the key-value service before much is spent

Counting only what is handed out loses the parallel turns of a lost owner. Change: while no more than the free share is handed out, a turn runs and the draw follows; a stop is answered at once and recorded behind; an owner tells its successor what a record holds, since records are read every 2 s at most; a service that did not answer is left alone for 800 ms.

--- a/crates/catkinshed/src/logs.rs
+++ b/crates/catkinshed/src/logs.rs
@@ -10,7 +10,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Level of the lines that are written when `RUST_LOG` does not say.
-const DEFAULT_LEVEL: &str = "info";
+const DEFAULT_LEVEL: &str = "info,rocket=warn";
 
 /// Starts the log.
 pub fn init(structured: bool) {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,7 +5,7 @@
 //! balancer takes a while to see it; then connections close after their request under way.
 
 use crate::desk::Desk;
-use crate::follow::{FEEDS, Follower, Part, Sources};
+use crate::follow::{FEEDS, FIRST_FEED, Follower, Part, Sources};
 use crate::forward::Context as Shared;
 use crate::ingress::{self, Flights, Phase};
 use crate::members;
@@ -40,7 +40,9 @@
     let kv = Client::new(&settings.kv, bound).context("key-value client")?;
     let view = Arc::new(View::default());
     let desk = Arc::new(Desk::new(settings.clone(), view.clone(), kv.clone()));
-    let sources = Arc::new(Sources::new(Instant::now()));
+    // A daemon that comes back is waited for, so it asks the key-value service at once.
+    let patience = if settings.first_start { FIRST_FEED } else { Duration::ZERO };
+    let sources = Arc::new(Sources::new(Instant::now() + patience));
     let phase = watch::Sender::new(Phase::Serving);
     let flights = Flights::default();
     let context = Arc::new(Shared::new(settings.clone(), view.clone(), desk.clone()));
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -4,28 +4,27 @@
 use crate::records::Records;
 use crate::settings::{Settings, millis};
 use crate::view::View;
+use compact_str::CompactString;
 use indexmap::IndexMap;
 use peer::client::Client as Peers;
 use peer::gateway::{Answer, Ask, Member, Settlement};
 use peer::wire::{self, Request};
 use platform::kv;
 use sched::id::{ProgramId, RequestId, Tokens, VmId};
-use sched::spend::{self, Ledger, Record, Verdict};
+use sched::spend::{self, Draw, Ledger, Record, Verdict};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Owners asked for one turn before it is refused.
 const MAX_OWNERS: usize = 3;
-/// Tries of recording that a program is stopped.
-const MAX_STOPS: usize = 4;
+/// Pause before recording that a program is stopped is tried again.
+const STOP_RETRY: Duration = Duration::from_millis(700);
 /// Programs whose draws go on at the same time.
 const DRAW_STRIPES: usize = 32;
 /// Quiet time after which a program's own count is dropped.
 const COUNT_LIFE: Duration = Duration::from_secs(120);
-/// Bound of reading the records, which a turn waits for.
-const RECORDS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Age of the records read from the platform at which a takeover reads them again.
 const RECORDS_MAX_AGE: Duration = Duration::from_secs(2);
 
@@ -198,25 +197,29 @@
     }
 
     /// Decides as the owner; `None` when the durable record cannot be reached.
-    pub async fn decide(&self, ask: &spend::Ask, first: bool) -> Option<bool> {
+    pub async fn decide(self: &Arc<Self>, ask: &spend::Ask, first: bool) -> Option<bool> {
         let undisturbed = self.view.undisturbed(ask.retention, Instant::now());
         let fresh = first && self.settings.first_start && undisturbed;
         if !fresh && !self.ledger().knows(&ask.program) {
             self.refresh_records().await?;
         }
-        let verdict = match self.ledger().reserve(ask, fresh, Instant::now()) {
-            Verdict::Draw(_) => None,
-            verdict => Some(verdict),
-        };
+        let verdict = self.ledger().reserve(ask, fresh, Instant::now());
         let verdict = match verdict {
-            Some(verdict) => verdict,
-            None => self.draw(ask, fresh).await?,
+            Verdict::Draw(_) => self.draw_first(ask, fresh).await?,
+            verdict => verdict,
         };
         match verdict {
-            Verdict::Granted => Some(true),
+            Verdict::Granted { draw } => {
+                if let Some(draw) = draw {
+                    let (desk, ask) = (self.clone(), ask.clone());
+                    tokio::spawn(async move { desk.draw(&ask, draw).await });
+                }
+                Some(true)
+            }
             Verdict::Exhausted => Some(false),
             Verdict::Stop => {
-                self.stop(ask).await;
+                let (desk, ask) = (self.clone(), ask.clone());
+                tokio::spawn(async move { desk.stop(&ask).await });
                 Some(false)
             }
             Verdict::Draw(_) => None,
@@ -224,7 +227,7 @@
     }
 
     /// Records that a program's budget is spent, so that no later owner lets it go on.
-    async fn stop(&self, ask: &spend::Ask) {
+    async fn stop(self: &Arc<Self>, ask: &spend::Ask) {
         if let Some(standing) = self.ledger().explain(&ask.program) {
             log::info!(
                 target: "budget",
@@ -240,25 +243,33 @@
         }
         let keep_until_ms = unix_ms() + ask.retention.as_millis() as u64;
         let record = Record { budget: ask.budget, drawn: ask.budget, keep_until_ms };
-        for _ in 0..MAX_STOPS {
+        let since = Instant::now();
+        while since.elapsed() < ask.retention {
             match self.records.update(&ask.program, |_| Some(record)).await {
-                Ok(_) => return,
-                Err(error) => log::warn!(
+                Ok(_) => return self.teach(&ask.program),
+                Err(error) => log::info!(
                     target: "budget", program = ask.program.as_str();
                     "the stop is not recorded yet: {error}"
                 ),
             }
+            sleep(STOP_RETRY).await;
         }
     }
 
-    /// Draws from the program's durable record, unless another turn has drawn enough meanwhile.
-    async fn draw(&self, ask: &spend::Ask, fresh: bool) -> Option<Verdict> {
+    /// Draws before a turn may run, unless another turn has drawn enough meanwhile.
+    async fn draw_first(self: &Arc<Self>, ask: &spend::Ask, fresh: bool) -> Option<Verdict> {
         let stripe = members::stripe(&ask.program, self.draws.len());
         let _held = self.draws[stripe].lock().await;
         let verdict = self.ledger().reserve(ask, fresh, Instant::now());
         let Verdict::Draw(draw) = verdict else {
             return Some(verdict);
         };
+        self.draw(ask, draw).await?;
+        Some(self.ledger().reserve(ask, fresh, Instant::now()))
+    }
+
+    /// Draws from the program's durable record; `None` when that cannot be reached.
+    async fn draw(self: &Arc<Self>, ask: &spend::Ask, draw: Draw) -> Option<()> {
         let taken = AtomicU64::new(0);
         let drawn = self.records.update(&ask.program, |found| {
             let (record, tokens) = spend::drawn(ask, found, draw, unix_ms())?;
@@ -269,14 +280,16 @@
             Ok(true) => self.ledger().draw(&ask.program, taken.into_inner()),
             Ok(false) => self.ledger().exhaust(&ask.program),
             Err(error) => {
-                log::warn!(
+                self.ledger().fail_draw(&ask.program);
+                log::info!(
                     target: "budget", program = ask.program.as_str();
                     "the budget's record cannot be written: {error}"
                 );
                 return None;
             }
         }
-        Some(self.ledger().reserve(ask, fresh, Instant::now()))
+        self.teach(&ask.program);
+        Some(())
     }
 
     /// Reads all durable records, unless that was done just now.
@@ -294,9 +307,7 @@
             // Others need not read them at the same time.
             *self.records_read() = Some(now);
         }
-        let listing = timeout(RECORDS_TIMEOUT, self.records.list()).await;
-        let late = || kv::Error::Unknown("the listing takes too long".to_owned());
-        match listing.unwrap_or_else(|_| Err(late())) {
+        match self.records.list().await {
             Ok(records) => {
                 self.ledger().learn(records);
                 *self.records_read() = Some(now);
@@ -313,6 +324,36 @@
         self.records_read.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes in a record that another owner wrote.
+    pub fn learn(&self, program: ProgramId, record: Record) {
+        self.ledger().learn([(program, record)]);
+    }
+
+    /// Tells the member that takes over if this one is lost what a record holds, since it reads the
+    /// records only now and then.
+    fn teach(self: &Arc<Self>, program: &ProgramId) {
+        let Some(record) = self.records.written(program) else {
+            return;
+        };
+        let successor = self.view.with_members(|live| {
+            members::successor(program, live, &self.settings.vm).map(|member| member.addr.clone())
+        });
+        if let Some(addr) = successor {
+            self.tell(addr, Ask::Learn { program: program.clone(), record });
+        }
+    }
+
+    /// Sends what needs no answer.
+    fn tell(self: &Arc<Self>, addr: CompactString, ask: Ask) {
+        let desk = self.clone();
+        tokio::spawn(async move {
+            let request = Request::Gateway(Box::new(ask));
+            let call = desk.peers.call(&addr, &request);
+            // What is lost is made up for by the next reservation or reading.
+            let _ = timeout(millis(desk.settings.limits.peer_timeout_ms), call).await;
+        });
+    }
+
     /// Settles as the owner.
     pub fn settle(&self, settlement: &Settlement) {
         let Settlement { program, request, daemon, handed_out } = settlement;
@@ -336,14 +377,7 @@
             self.settle(&settlement);
             return;
         }
-        let desk = self.clone();
-        tokio::spawn(async move {
-            let request = Request::Gateway(Box::new(Ask::Settle(settlement)));
-            let call = desk.peers.call(&owner.addr, &request);
-            let bound = millis(desk.settings.limits.peer_timeout_ms);
-            // A settlement that is lost is made up for by the next reservation's count.
-            let _ = timeout(bound, call).await;
-        });
+        self.tell(owner.addr, Ask::Settle(settlement));
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -33,8 +33,8 @@
 const RETRY_MAX: Duration = Duration::from_millis(800);
 /// Silence after which a delegate does not count as heard.
 const FEED_SILENCE: Duration = Duration::from_millis(900);
-/// Time that delegates have to be heard for the first time before a daemon watches itself.
-const FIRST_FEED: Duration = Duration::from_millis(500);
+/// Time that delegates have to be heard when all daemons start together.
+pub const FIRST_FEED: Duration = Duration::from_millis(500);
 /// Interval of looks whether this daemon has to watch.
 const ROLE_CHECK: Duration = Duration::from_millis(200);
 /// Pause before another delegate is followed.
@@ -44,15 +44,15 @@
 
 /// Where the view comes from at present.
 pub struct Sources {
-    started: Instant,
+    feeds_expected: Instant,
     watching: [AtomicBool; 2],
     heard: Mutex<[Option<Instant>; FEEDS]>,
 }
 
 impl Sources {
-    /// Starts without any source.
-    pub fn new(now: Instant) -> Self {
-        Self { started: now, watching: Default::default(), heard: Mutex::default() }
+    /// Starts without any source; delegates are waited for until `feeds_expected`.
+    pub fn new(feeds_expected: Instant) -> Self {
+        Self { feeds_expected, watching: Default::default(), heard: Mutex::default() }
     }
 
     /// Tells whether this daemon watches the key-value service and is answered.
@@ -66,7 +66,7 @@
 
     /// Tells whether a delegate that watches the service has been heard lately.
     fn fed(&self, now: Instant) -> bool {
-        if now.duration_since(self.started) < FIRST_FEED {
+        if now < self.feeds_expected {
             return true;
         }
         let heard = *self.heard();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -195,6 +195,7 @@
             most: facts.max_output,
             daemon: self.context.settings.vm.clone(),
             handed_out: 0,
+            complete: self.context.settings.first_start,
             retention: self.route.retention,
         };
         match self.context.desk.reserve(ask).await {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -31,6 +31,16 @@
     format_compact!("{RECORDS}{program}")
 }
 
+/// The member that takes over the budget of `program` when `me` is lost.
+pub fn successor<'a>(
+    program: &str,
+    live: &'a IndexMap<VmId, Member>,
+    me: &str,
+) -> Option<&'a Member> {
+    let others = live.values().filter(|member| member.vm != me);
+    others.max_by_key(|member| members::weight(&program, &member.vm))
+}
+
 /// Delegates of a small fleet.
 const MIN_DELEGATES: usize = 3;
 /// Followers that one delegate serves in a large fleet.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -51,6 +51,7 @@
             });
         }
         Ask::Settle(settlement) => desk.settle(&settlement),
+        Ask::Learn { program, record } => desk.learn(program, record),
         Ask::Follow { version } => {
             let cursor = Cursor::new(version);
             tokio::spawn(follow(cursor, outbox, view.clone(), sources.clone()));
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -10,7 +10,13 @@
 use sched::id::ProgramId;
 use sched::spend::Record;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
 
+/// Bound of one call, which a turn may wait for.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for which the service is not called after it did not answer.
+const REST: Duration = Duration::from_millis(800);
 /// Tries of one update against those of other owners.
 const MAX_TRIES: u32 = 4;
 /// Records whose revisions are kept; the oldest are dropped first.
@@ -25,13 +31,15 @@
 /// Records that this daemon has written or read.
 pub struct Records {
     kv: Client,
+    /// Until when the service is not called, after it did not answer.
+    rests_until: Mutex<Option<Instant>>,
     known: Mutex<IndexMap<ProgramId, Known>>,
 }
 
 impl Records {
     /// Prepares updates through `kv`.
     pub fn new(kv: Client) -> Self {
-        Self { kv, known: Mutex::default() }
+        Self { kv, rests_until: Mutex::default(), known: Mutex::default() }
     }
 
     fn known(&self) -> MutexGuard<'_, IndexMap<ProgramId, Known>> {
@@ -46,6 +54,25 @@
         all.insert(program.into(), known);
     }
 
+    /// The record as this daemon last wrote or read it.
+    pub fn written(&self, program: &str) -> Option<Record> {
+        self.known().get(program).and_then(|known| known.record)
+    }
+
+    /// Bounds a call, and calls nothing for a moment after one that was not answered.
+    async fn bounded<T>(&self, call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+        let rest = || self.rests_until.lock().unwrap_or_else(PoisonError::into_inner);
+        if rest().is_some_and(|until| Instant::now() < until) {
+            return Err(Error::Refused("the key-value service did not answer just now".to_owned()));
+        }
+        let result = timeout(CALL_TIMEOUT, call).await;
+        let result = result.unwrap_or_else(|_| Err(Error::Unknown("no answer in time".to_owned())));
+        if result.is_err() {
+            *rest() = Some(Instant::now() + REST);
+        }
+        result
+    }
+
     /// Replaces a record by what `change` makes of it.
     ///
     /// Returns whether `change` wanted a replacement.
@@ -72,7 +99,8 @@
             };
             let value =
                 serde_json::to_vec(&record).map_err(|error| Error::Malformed(error.to_string()))?;
-            if let Swap::Done(revision) = self.kv.swap(&key, &value, known.revision, None).await? {
+            let swap = self.bounded(self.kv.swap(&key, &value, known.revision, None)).await?;
+            if let Swap::Done(revision) = swap {
                 self.keep(program, Known { revision, record: Some(record) });
                 return Ok(true);
             }
@@ -83,7 +111,7 @@
     }
 
     async fn read(&self, program: &str) -> Result<Known, Error> {
-        let known = match self.kv.get(&members::record_key(program)).await? {
+        let known = match self.bounded(self.kv.get(&members::record_key(program))).await? {
             Some(entry) => Known {
                 revision: entry.revision,
                 record: serde_json::from_slice(&entry.value).ok(),
@@ -100,7 +128,7 @@
     ///
     /// Returns an [`Error`] when the service is out of reach.
     pub async fn list(&self) -> Result<Vec<(ProgramId, Record)>, Error> {
-        let listing = self.kv.list(members::RECORDS, "").await?;
+        let listing = self.bounded(self.kv.list(members::RECORDS, "")).await?;
         let records = listing.entries.iter().filter_map(|entry| {
             let program = entry.key.strip_prefix(members::RECORDS)?;
             Some((program.into(), serde_json::from_slice(&entry.value).ok()?))
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -77,6 +77,13 @@
     Reserve(spend::Ask),
     /// Settles a turn at the owner of its program's budget; not answered.
     Settle(Settlement),
+    /// Tells the next owner of a program's budget what its durable record holds; not answered.
+    Learn {
+        /// The program.
+        program: ProgramId,
+        /// Its record.
+        record: spend::Record,
+    },
     /// Asks for the view, and then for what changes.
     Follow {
         /// Version of the configuration that the asker has.
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -8,7 +8,8 @@
 //!   owner that takes over learns the counts of all daemons that still live;
 //! * beyond a free share of its budget a program spends only what was drawn from a durable record
 //!   by compare-and-swap, so most programs cost no write and a program that spends much is known to
-//!   every later owner;
+//!   every later owner; while no more than the free share is handed out, turns do not wait for the
+//!   draw, so that a slow or absent platform does not stop them;
 //! * an owner that has not been there from the start charges an unknown program the free share, the
 //!   most that can have been spent without a record.
 //!
@@ -57,6 +58,8 @@
     pub daemon: VmId,
     /// Tokens that this daemon has handed out to the program so far.
     pub handed_out: Tokens,
+    /// Whether the daemon has run since before any program began, so that its count is complete.
+    pub complete: bool,
     /// Time for which a program that spent its budget stays stopped.
     pub retention: Duration,
 }
@@ -65,12 +68,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// It is reserved and may run.
-    Granted,
+    Granted {
+        /// What should be drawn meanwhile, so that the next turns can run too.
+        draw: Option<Draw>,
+    },
     /// The budget did not hold an earlier turn.
     Exhausted,
     /// The budget does not hold it, which is to be recorded.
     Stop,
-    /// More must be drawn from the durable record first.
+    /// More must be drawn from the durable record before it may run.
     Draw(Draw),
 }
 
@@ -114,6 +120,10 @@
     reservations: IndexMap<RequestId, Reservation>,
     /// Tokens that may be known to be spent without a further draw.
     allowed: Tokens,
+    /// Tokens that may be handed out without any record.
+    free: Tokens,
+    /// Whether a draw is under way.
+    drawing: bool,
     /// Whether a turn was refused, which ends the program.
     stopped: bool,
     used: Instant,
@@ -130,14 +140,17 @@
         self.reservations.values().map(|reservation| reservation.most).sum()
     }
 
-    /// Notes what a daemon has handed out; what it did before this owner knew the program is part of
-    /// what was assumed.
-    fn declare(&mut self, daemon: &str, handed_out: Tokens) {
+    /// Notes what a daemon has handed out.
+    ///
+    /// What a daemon that was never restarted had handed out before this owner knew the program is
+    /// part of what was assumed. Another daemon may have done so after the loss that is assumed,
+    /// through an owner that stood in for this one.
+    fn declare(&mut self, daemon: &str, handed_out: Tokens, complete: bool) {
         if let Some(counted) = self.handed_out.get_mut(daemon) {
             *counted = (*counted).max(handed_out);
             return;
         }
-        if !self.recorded {
+        if complete && !self.recorded {
             self.assumed = self.assumed.saturating_sub(handed_out);
         }
         self.handed_out.insert(daemon.into(), handed_out);
@@ -214,6 +227,8 @@
                 handed_out: IndexMap::new(),
                 reservations: IndexMap::new(),
                 allowed: free,
+                free,
+                drawing: false,
                 stopped: record.is_some_and(|record| record.drawn >= record.budget),
                 used: now,
                 retention: ask.retention,
@@ -221,7 +236,7 @@
         });
         account.used = now;
         account.charge_overdue(now);
-        account.declare(&ask.daemon, ask.handed_out);
+        account.declare(&ask.daemon, ask.handed_out, ask.complete);
         let open = account.reserved() + ask.most;
         let known = account.known() + open;
         let charged = account.assumed + account.known() + open;
@@ -232,14 +247,21 @@
             account.stopped = true;
             return Verdict::Stop;
         }
+        let mut draw = None;
         if known > account.allowed {
             let needed = known - account.allowed;
             let wanted = needed.max(share(account.budget, DRAW_SHARE));
-            return Verdict::Draw(Draw { needed, wanted });
+            let due = Draw { needed, wanted };
+            if account.known() > account.free {
+                return Verdict::Draw(due);
+            }
+            // Turns under way hand out a part of their most, so the record may follow.
+            draw = (!account.drawing).then_some(due);
+            account.drawing = true;
         }
         let reservation = Reservation { most: ask.most, since: now };
         account.reservations.insert(ask.request.clone(), reservation);
-        Verdict::Granted
+        Verdict::Granted { draw }
     }
 
     /// Tells whether the owner knows a program already.
@@ -251,6 +273,14 @@
     pub fn draw(&mut self, program: &str, tokens: Tokens) {
         if let Some(account) = self.accounts.get_mut(program) {
             account.allowed = (account.allowed + tokens).min(account.budget);
+            account.drawing = false;
+        }
+    }
+
+    /// Notes that a draw failed; the next turn tries again.
+    pub fn fail_draw(&mut self, program: &str) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.drawing = false;
         }
     }
 
@@ -276,7 +306,7 @@
     pub fn settle(&mut self, program: &str, request: &str, daemon: &str, handed_out: Tokens) {
         if let Some(account) = self.accounts.get_mut(program) {
             account.reservations.swap_remove(request);
-            account.declare(daemon, handed_out);
+            account.declare(daemon, handed_out, false);
         }
     }
 
