Book turns with a steward of each group of engines, and let owners inherit budgets

Ruled out: reports of the engines (priced, and late by 200 ms), in-flight gossip through delegates (staler than a turn is long, and more messages than bookings). Change: the strongest member of a data centre books the turns of each service's engines there; a program stays with the engine that has its prompt while that has room; a busy data centre's turns also ask another one. Bookings lapse, and a daemon whose steward is silent places by its own knowledge.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -54,7 +54,7 @@
         let serve = async move {
             let listener = bind(&settings).await?;
             let peers = TcpListener::bind(settings.peer_addr).await?;
-            tokio::spawn(serve_peers(peers, settings.clone(), desk, view, sources));
+            tokio::spawn(serve_peers(peers, context.clone(), desk, view, sources));
             ingress::serve(listener, context, phase, flights).await;
             anyhow::Ok(())
         };
@@ -133,13 +133,15 @@
 
 async fn serve_peers(
     listener: TcpListener,
-    settings: Arc<Settings>,
+    context: Arc<Shared>,
     desk: Arc<Desk>,
     view: Arc<View>,
     sources: Arc<Sources>,
 ) {
-    let key: Arc<[u8]> = settings.cluster_key.as_bytes().into();
-    let handle = move |request, outbox| peers::take(request, outbox, &desk, &view, &sources);
+    let key: Arc<[u8]> = context.settings.cluster_key.as_bytes().into();
+    let stewards = context.stewards.clone();
+    let handle =
+        move |request, outbox| peers::take(request, outbox, &desk, &view, &sources, &stewards);
     if let Err(error) = peer::server::serve(listener, key, handle).await {
         log::error!("peers are not served any more: {error}");
     }
@@ -151,6 +153,7 @@
         let now = Instant::now();
         context.pool.sweep(now);
         context.desk.sweep(now);
+        context.stewards.sweep(now);
         context.view.fleet(|fleet| fleet.sweep(now));
     }
 }
@@ -171,6 +174,7 @@
         dc: settings.dc.clone(),
         addr: compact_str::format_compact!("{}", settings.peer_addr),
         incarnation: fastrand::u64(1..),
+        cpu: (settings.cpu_share * 1_000.0) as u32,
     };
     loop {
         if let Err(error) = hold_lease(&settings, &kv, &member).await {
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -21,10 +21,12 @@
 const MAX_OWNERS: usize = 3;
 /// Pause before recording that a program is stopped is tried again.
 const STOP_RETRY: Duration = Duration::from_millis(700);
-/// Programs whose draws go on at the same time.
-const DRAW_STRIPES: usize = 32;
+/// Programs whose draws or takeovers go on at the same time.
+const STRIPES: usize = 32;
 /// Quiet time after which a program's own count is dropped.
 const COUNT_LIFE: Duration = Duration::from_secs(120);
+/// Bound of asking the former owner of a program.
+const INHERIT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Age of the records read from the platform at which a takeover reads them again.
 const RECORDS_MAX_AGE: Duration = Duration::from_secs(2);
 
@@ -72,7 +74,9 @@
     view: Arc<View>,
     records: Records,
     /// Held while a program draws, so that its parallel turns do not draw one after the other.
-    draws: [tokio::sync::Mutex<()>; DRAW_STRIPES],
+    draws: [tokio::sync::Mutex<()>; STRIPES],
+    /// Held while an owner learns what others know of a program.
+    takeovers: [tokio::sync::Mutex<()>; STRIPES],
     peers: Peers,
     suspects: Suspects,
     ledger: Mutex<Ledger>,
@@ -90,6 +94,7 @@
             view,
             records: Records::new(kv),
             draws: std::array::from_fn(|_| tokio::sync::Mutex::default()),
+            takeovers: std::array::from_fn(|_| tokio::sync::Mutex::default()),
             peers,
             suspects: Suspects::default(),
             ledger: Mutex::default(),
@@ -201,7 +206,7 @@
         let undisturbed = self.view.undisturbed(ask.retention, Instant::now());
         let fresh = first && self.settings.first_start && undisturbed;
         if !fresh && !self.ledger().knows(&ask.program) {
-            self.refresh_records().await?;
+            self.take_over(ask).await?;
         }
         let verdict = self.ledger().reserve(ask, fresh, Instant::now());
         let verdict = match verdict {
@@ -226,6 +231,43 @@
         }
     }
 
+    /// Learns what others know of a program that this owner does not know.
+    async fn take_over(&self, ask: &spend::Ask) -> Option<()> {
+        let stripe = members::stripe(&ask.program, self.takeovers.len());
+        let _held = self.takeovers[stripe].lock().await;
+        if self.ledger().knows(&ask.program) {
+            return Some(());
+        }
+        self.refresh_records().await?;
+        let now = Instant::now();
+        let all = self.view.members_since(ask.retention, now);
+        let former = members::successor(&ask.program, &all, &self.settings.vm);
+        let Some(former) = former.filter(|former| !self.suspects.contains(&former.vm, now)) else {
+            return Some(());
+        };
+        let request = Request::Gateway(Box::new(Ask::Inherit(ask.program.clone())));
+        let answer = async {
+            let mut replies = self.peers.call(&former.addr, &request).await.ok()?;
+            match replies.next().await.ok()?? {
+                wire::Reply::Gateway(Answer::Inherited(inheritance)) => Some(inheritance),
+                _ => None,
+            }
+        };
+        match timeout(INHERIT_TIMEOUT, answer).await.ok().flatten() {
+            Some(Some(inheritance)) => {
+                self.ledger().inherit(ask.program.clone(), *inheritance, Instant::now());
+            }
+            Some(None) => {}
+            None => self.suspects.suspect(&former.vm, now),
+        }
+        Some(())
+    }
+
+    /// Gives a program away to the owner that asks for it.
+    pub fn give(&self, program: &str) -> Option<spend::Inheritance> {
+        self.ledger().give(program)
+    }
+
     /// Records that a program's budget is spent, so that no later owner lets it go on.
     async fn stop(self: &Arc<Self>, ask: &spend::Ask) {
         if let Some(standing) = self.ledger().explain(&ask.program) {
@@ -344,7 +386,7 @@
     }
 
     /// Sends what needs no answer.
-    fn tell(self: &Arc<Self>, addr: CompactString, ask: Ask) {
+    pub fn tell(self: &Arc<Self>, addr: CompactString, ask: Ask) {
         let desk = self.clone();
         tokio::spawn(async move {
             let request = Request::Gateway(Box::new(ask));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -266,7 +266,10 @@
                     self.view.merge_changes(*changes, now);
                     watching
                 }
-                Answer::Pending | Answer::Reserved(_) => return,
+                Answer::Pending
+                | Answer::Reserved(_)
+                | Answer::Inherited(_)
+                | Answer::Booked(_) => return,
             };
             if !watching {
                 return;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::desk::{Desk, Error as DeskError, Reservation};
 use crate::relay::Relay;
 use crate::settings::{Settings, millis};
+use crate::stewards::{Booked, Stewards};
 use crate::upstream::{self, Link, Order, Pool};
 use crate::view::View;
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use sched::request::Facts;
 use sched::route::{Route, Table};
 use sched::spend;
+use sched::steward;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
@@ -45,6 +47,8 @@
     pub pool: Arc<Pool>,
     /// Reservations of budgets.
     pub desk: Arc<Desk>,
+    /// Bookings of engines.
+    pub stewards: Arc<Stewards>,
     rng: Mutex<fastrand::Rng>,
 }
 
@@ -52,7 +56,8 @@
     /// Puts the parts together.
     pub fn new(settings: Arc<Settings>, view: Arc<View>, desk: Arc<Desk>) -> Self {
         let rng = Mutex::new(fastrand::Rng::new());
-        Self { settings, view, pool: Arc::default(), desk, rng }
+        let stewards = Arc::new(Stewards::new(settings.clone(), view.clone(), desk.clone()));
+        Self { settings, view, pool: Arc::default(), desk, stewards, rng }
     }
 
     fn with_rng<R>(&self, draw: impl FnOnce(&mut fastrand::Rng) -> R) -> R {
@@ -64,9 +69,9 @@
     }
 
     /// Counts a request at an endpoint until the guard is dropped.
-    fn begin(self: &Arc<Self>, endpoint: &EndpointId) -> Visit {
+    fn begin(self: &Arc<Self>, endpoint: &EndpointId, booked: Option<Booked>) -> Visit {
         self.view.fleet(|fleet| fleet.begin(endpoint));
-        Visit { context: self.clone(), endpoint: endpoint.clone() }
+        Visit { context: self.clone(), endpoint: endpoint.clone(), _booked: booked }
     }
 }
 
@@ -74,6 +79,7 @@
 pub struct Visit {
     context: Arc<Context>,
     endpoint: EndpointId,
+    _booked: Option<Booked>,
 }
 
 impl Drop for Visit {
@@ -221,13 +227,13 @@
             if now >= self.due() {
                 return Err(self.overdue());
             }
-            let Some(registration) = self.place(only.take(), now) else {
+            let Some((registration, booked)) = self.choose(only.take(), now).await else {
                 return Err(match self.attempt.give_up() {
                     Next::RefuseNotRun => Reason::NoEndpoint,
                     _ => Reason::Unknown,
                 });
             };
-            let next = match self.visit(registration, resume_after).await {
+            let next = match self.visit(registration, booked, resume_after).await {
                 Ok(head) => return Ok(head),
                 Err(next) => next,
             };
@@ -251,14 +257,40 @@
         }
     }
 
-    fn place(&self, only: Option<EndpointId>, now: Instant) -> Option<Registration> {
+    /// Chooses an endpoint: `only` if it takes work, else one that a steward books, else one by this
+    /// daemon's own knowledge.
+    async fn choose(
+        &self,
+        only: Option<EndpointId>,
+        now: Instant,
+    ) -> Option<(Registration, Option<Booked>)> {
         let view = &self.context.view;
         let registration = |id: &EndpointId| {
             view.fleet(|fleet| fleet.registration(id).filter(|found| fleet.takes_work(found, now)))
         };
         if let Some(found) = only.as_ref().and_then(registration) {
-            return Some(found);
+            return Some((found, None));
+        }
+        if self.route.kind.streams()
+            && let Some(booked) = self.context.stewards.book(self.booking()).await
+        {
+            return Some((booked.registration.clone(), Some(booked)));
+        }
+        self.place(Instant::now()).map(|found| (found, None))
+    }
+
+    fn booking(&self) -> steward::Ask {
+        let facts = &self.arrival.facts;
+        steward::Ask {
+            request: facts.id.clone(),
+            program: facts.program.clone().unwrap_or_else(|| facts.affinity().into()),
+            service: self.service.clone(),
+            avoid: self.attempt.refused_by().to_vec(),
         }
+    }
+
+    fn place(&self, now: Instant) -> Option<Registration> {
+        let view = &self.context.view;
         let affinity = match self.route.kind.streams() {
             true => self.arrival.facts.affinity(),
             false => "",
@@ -278,9 +310,10 @@
     async fn visit(
         &mut self,
         registration: Registration,
+        booked: Option<Booked>,
         resume_after: Option<u64>,
     ) -> Result<Head, Next> {
-        let visit = self.context.begin(&registration.id);
+        let visit = self.context.begin(&registration.id, booked);
         let now = Instant::now();
         let idle = self.context.pool.take(&registration, now);
         let mut link = match idle {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //!   service turns this daemon away;
 //! * [`desk`] reserves tokens of programs' budgets at their owners, [`records`] keeps what of them
 //!   must last;
+//! * [`stewards`] books engines, so that daemons do not crowd some while others have room;
 //! * [`retire`] answers requests to empty a storage VM;
 //! * [`probes`] answers readiness and metrics, [`daemon`] starts and stops the parts.
 //!
@@ -31,6 +32,7 @@
 pub mod relay;
 pub mod retire;
 pub mod settings;
+pub mod stewards;
 pub mod storage;
 pub mod upstream;
 pub mod view;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -31,6 +31,19 @@
     format_compact!("{RECORDS}{program}")
 }
 
+/// The steward of a service's engines in a data centre: one of the strongest members there.
+pub fn steward<'a>(
+    service: &str,
+    dc: &str,
+    live: &'a IndexMap<VmId, Member>,
+    suspects: &Suspects,
+    now: Instant,
+) -> Option<&'a Member> {
+    let near = live.values().filter(|member| member.dc == dc);
+    let heard = near.filter(|member| !suspects.contains(&member.vm, now));
+    heard.max_by_key(|member| (member.cpu, members::weight(&service, &member.vm)))
+}
+
 /// The member that takes over the budget of `program` when `me` is lost.
 pub fn successor<'a>(
     program: &str,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,12 +3,13 @@
 use crate::desk::Desk;
 use crate::follow::Sources;
 use crate::members;
+use crate::stewards::Stewards;
 use crate::view::{Cursor, News, View};
 use peer::gateway::{Answer, Ask};
 use peer::server::Outbox;
 use peer::wire::{Reply, Request};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// Time after which an asker is told that its answer waits for the platform.
@@ -23,6 +24,7 @@
     desk: &Arc<Desk>,
     view: &Arc<View>,
     sources: &Arc<Sources>,
+    stewards: &Arc<Stewards>,
 ) {
     let Request::Gateway(ask) = request else {
         log::warn!(target: "peers", "a daemon of another kind asks this gateway");
@@ -34,8 +36,7 @@
             tokio::spawn(async move {
                 let first = view.with_members(|live| {
                     let none = members::Suspects::default();
-                    let owner =
-                        members::owner(&ask.program, live, &none, std::time::Instant::now());
+                    let owner = members::owner(&ask.program, live, &none, Instant::now());
                     owner.is_some_and(|(owner, _)| owner.vm == *desk.vm())
                 });
                 let mut decision = std::pin::pin!(desk.decide(&ask, first));
@@ -51,6 +52,21 @@
             });
         }
         Ask::Settle(settlement) => desk.settle(&settlement),
+        Ask::Book { dc, ask } => {
+            let booking = stewards.decide(&dc, &ask, Instant::now());
+            tokio::spawn(async move {
+                // A booking whose asker has gone lapses.
+                let _ = outbox.send(Reply::Gateway(Answer::Booked(booking))).await;
+            });
+        }
+        Ask::Release(request) => stewards.end(&request),
+        Ask::Inherit(program) => {
+            let inheritance = desk.give(&program).map(Box::new);
+            tokio::spawn(async move {
+                // What an asker that has gone would have inherited is charged by the next owner.
+                let _ = outbox.send(Reply::Gateway(Answer::Inherited(inheritance))).await;
+            });
+        }
         Ask::Learn { program, record } => desk.learn(program, record),
         Ask::Follow { version } => {
             let cursor = Cursor::new(version);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,10 @@
     }
 }
 
+fn default_cpu_share() -> f64 {
+    1.0
+}
+
 /// Settings of a gateway daemon.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -68,6 +72,9 @@
     /// Key that the daemons share.
     #[serde(skip_serializing)]
     pub cluster_key: String,
+    /// Share of a processor core that this daemon has.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     pub first_start: bool,
--- /dev/null
+++ b/crates/gateway/src/stewards.rs
@@ -0,0 +1,137 @@
+//! Bookings of engines with their stewards, as the asking daemon and as the steward.
+//!
+//! A daemon asks the steward of its own data centre first, and that of another one when the first has
+//! only busy engines. A steward that does not answer in time is passed over for a moment, and the
+//! daemon places by its own knowledge.
+
+use crate::desk::Desk;
+use crate::members::{self, Suspects};
+use crate::settings::Settings;
+use crate::view::View;
+use peer::gateway::{Answer, Ask, Member};
+use peer::wire::{Reply, Request};
+use sched::fleet::Registration;
+use sched::id::RequestId;
+use sched::steward::{self, Board, Booking};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Bound of one question to a steward.
+const ASK_TIMEOUT: Duration = Duration::from_millis(60);
+/// Load from which the steward of another data centre is asked too.
+const BUSY_LOAD: f64 = 0.8;
+
+/// The parts that bookings need.
+pub struct Stewards {
+    settings: Arc<Settings>,
+    view: Arc<View>,
+    desk: Arc<Desk>,
+    suspects: Suspects,
+    board: Mutex<Board>,
+}
+
+/// A booked engine; dropping it ends the booking.
+pub struct Booked {
+    stewards: Arc<Stewards>,
+    steward: Member,
+    request: RequestId,
+    /// The engine.
+    pub registration: Registration,
+    load: f64,
+}
+
+impl Drop for Booked {
+    fn drop(&mut self) {
+        self.stewards.release(&self.steward, &self.request);
+    }
+}
+
+impl Stewards {
+    /// Prepares bookings.
+    pub fn new(settings: Arc<Settings>, view: Arc<View>, desk: Arc<Desk>) -> Self {
+        Self { settings, view, desk, suspects: Suspects::default(), board: Mutex::default() }
+    }
+
+    fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Books an engine; `None` when no steward answers with one.
+    pub async fn book(self: &Arc<Self>, ask: steward::Ask) -> Option<Booked> {
+        let own = self.settings.dc.clone();
+        let near = self.book_in(&own, &ask).await;
+        if near.as_ref().is_some_and(|booked| booked.load < BUSY_LOAD) {
+            return near;
+        }
+        let others = self.view.fleet(|fleet| fleet.dcs(&ask.service));
+        let others: Vec<_> = others.into_iter().filter(|dc| *dc != own).collect();
+        let Some(other) = fastrand::choice(others) else {
+            return near;
+        };
+        let far = self.book_in(&other, &ask).await;
+        match (&near, &far) {
+            (Some(near_one), Some(far_one)) if near_one.load <= far_one.load => near,
+            (_, Some(_)) => far,
+            (_, None) => near,
+        }
+    }
+
+    async fn book_in(self: &Arc<Self>, dc: &str, ask: &steward::Ask) -> Option<Booked> {
+        let now = Instant::now();
+        let steward = self.view.with_members(|live| {
+            members::steward(&ask.service, dc, live, &self.suspects, now).cloned()
+        })?;
+        let booking = match steward.vm == self.settings.vm {
+            true => self.decide(dc, ask, now),
+            false => self.ask_peer(&steward, dc, ask).await,
+        };
+        let Booking { endpoint, load } = booking?;
+        let registration = self.view.fleet(|fleet| fleet.registration(&endpoint))?;
+        let request = ask.request.clone();
+        Some(Booked { stewards: self.clone(), steward, request, registration, load })
+    }
+
+    async fn ask_peer(&self, steward: &Member, dc: &str, ask: &steward::Ask) -> Option<Booking> {
+        let ask = Ask::Book { dc: dc.into(), ask: ask.clone() };
+        let request = Request::Gateway(Box::new(ask));
+        let answer = async {
+            let mut replies = self.desk.peers().call(&steward.addr, &request).await.ok()?;
+            match replies.next().await.ok()?? {
+                Reply::Gateway(Answer::Booked(booking)) => Some(booking),
+                _ => None,
+            }
+        };
+        match timeout(ASK_TIMEOUT, answer).await.ok().flatten() {
+            Some(booking) => booking,
+            None => {
+                self.suspects.suspect(&steward.vm, Instant::now());
+                log::info!(target: "steward", steward = steward.vm.as_str(); "no answer in time");
+                None
+            }
+        }
+    }
+
+    /// Books as the steward.
+    pub fn decide(&self, dc: &str, ask: &steward::Ask, now: Instant) -> Option<Booking> {
+        let mut board = self.board();
+        self.view.fleet(|fleet| board.book(fleet, dc, ask, now))
+    }
+
+    /// Releases as the steward.
+    pub fn end(&self, request: &str) {
+        self.board().release(request);
+    }
+
+    /// Ends bookings whose daemons are gone.
+    pub fn sweep(&self, now: Instant) {
+        self.board().sweep(now);
+    }
+
+    fn release(&self, steward: &Member, request: &RequestId) {
+        match steward.vm == self.settings.vm {
+            true => self.end(request),
+            false => self.desk.tell(steward.addr.clone(), Ask::Release(request.clone())),
+        }
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -27,6 +27,8 @@
     /// The last changes, and the number of all before them.
     kept: VecDeque<Change>,
     dropped: u64,
+    /// Members that left lately, with the time.
+    left: IndexMap<VmId, (Member, Instant)>,
     /// When a daemon last left or started again, which moves the ownership of budgets.
     disturbed: Option<Instant>,
 }
@@ -101,6 +103,16 @@
         self.lock().members.clone()
     }
 
+    /// Live daemons and those that left within `span`.
+    pub fn members_since(&self, span: Duration, now: Instant) -> IndexMap<VmId, Member> {
+        let mut state = self.lock();
+        state.left.retain(|_, (_, at)| now.duration_since(*at) <= span);
+        let left = state.left.iter().map(|(vm, (member, _))| (vm.clone(), member.clone()));
+        let mut all: IndexMap<VmId, Member> = left.collect();
+        all.extend(state.members.iter().map(|(vm, member)| (vm.clone(), member.clone())));
+        all
+    }
+
     /// Runs a decision on the live daemons.
     pub fn with_members<R>(&self, decide: impl FnOnce(&IndexMap<VmId, Member>) -> R) -> R {
         decide(&self.lock().members)
@@ -174,10 +186,13 @@
             state.fleet.retain(&present, now);
             let members: IndexMap<VmId, Member> =
                 members.into_iter().map(|member| (member.vm.clone(), member)).collect();
-            if state.members.iter().any(|(vm, known)| members.get(vm) != Some(known)) {
-                state.disturbed = Some(now);
+            let before = std::mem::replace(&mut state.members, members);
+            for (vm, known) in before {
+                if state.members.get(&vm) != Some(&known) {
+                    state.disturbed = Some(now);
+                    state.left.insert(vm, (known, now));
+                }
             }
-            state.members = members;
             // Followers cannot tell what changed, so they get the whole view.
             state.dropped += state.kept.len() as u64 + 1;
             state.kept.clear();
@@ -250,8 +265,9 @@
             }
         }
         Change::Left(vm) => {
-            if state.members.swap_remove(&vm).is_some() {
+            if let Some(known) = state.members.swap_remove(&vm) {
                 state.disturbed = Some(now);
+                state.left.insert(vm, (known, now));
             }
         }
     }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -5,6 +5,7 @@
 use sched::id::{DcId, EndpointId, ProgramId, RequestId, Tokens, Version, VmId};
 use sched::route::Table;
 use sched::spend;
+use sched::steward;
 use serde::{Deserialize, Serialize};
 
 /// A live gateway daemon.
@@ -18,6 +19,8 @@
     pub addr: CompactString,
     /// Number of its process.
     pub incarnation: u64,
+    /// Its share of a processor core, in thousandths.
+    pub cpu: u32,
 }
 
 /// Change of what lies in the key-value service.
@@ -77,6 +80,8 @@
     Reserve(spend::Ask),
     /// Settles a turn at the owner of its program's budget; not answered.
     Settle(Settlement),
+    /// Takes a program's budget over from the member that owned it or stood in.
+    Inherit(ProgramId),
     /// Tells the next owner of a program's budget what its durable record holds; not answered.
     Learn {
         /// The program.
@@ -84,6 +89,15 @@
         /// Its record.
         record: spend::Record,
     },
+    /// Books an engine of a data centre with its steward.
+    Book {
+        /// The data centre.
+        dc: DcId,
+        /// The turn.
+        ask: steward::Ask,
+    },
+    /// Ends the booking of a request; not answered.
+    Release(RequestId),
     /// Asks for the view, and then for what changes.
     Follow {
         /// Version of the configuration that the asker has.
@@ -96,6 +110,10 @@
 pub enum Answer {
     /// The owner lives and waits for the platform; [`Answer::Reserved`] follows.
     Pending,
+    /// What the asked member knew of a program.
+    Inherited(Option<Box<spend::Inheritance>>),
+    /// The booked engine, `None` when there is none.
+    Booked(Option<steward::Booking>),
     /// Whether a turn may run; `None` when the owner cannot tell.
     Reserved(Option<bool>),
     /// The view; first frame for a follower, and again for one that fell behind.
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -98,6 +98,17 @@
     pub avoid: &'a [EndpointId],
 }
 
+/// An endpoint that takes work.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Its registration.
+    pub registration: &'a Registration,
+    /// Whether it failed lately.
+    pub ejected: bool,
+    /// Whether it answered "full" just now.
+    pub full: bool,
+}
+
 /// A chosen endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -185,6 +196,25 @@
         self.members.get(id).map(|member| member.registration.clone())
     }
 
+    /// Data centres that have endpoints of a service.
+    pub fn dcs(&self, service: &str) -> IndexSet<DcId> {
+        let ids = self.services.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.members.get(id))
+            .map(|member| member.registration.dc.clone())
+            .collect()
+    }
+
+    /// Endpoints of a service that take work.
+    pub fn usable(&self, service: &str, now: Instant) -> impl Iterator<Item = Candidate<'_>> {
+        let ids = self.services.get(service).into_iter().flatten();
+        let members = ids.filter_map(|id| self.members.get(id));
+        members.filter(move |member| member.usable(now)).map(move |member| Candidate {
+            registration: &member.registration,
+            ejected: member.ejected(now),
+            full: member.full(now),
+        })
+    }
+
     /// Registrations that hold, for peers that cannot reach the registry.
     pub fn registrations(&self) -> Vec<Registration> {
         let present = self.members.values().filter(|member| member.vanished.is_none());
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`config`] is the operators' configuration, replayed from its numbered changes;
 //! * [`grant`] is the account ledger that several logs draw from;
 //! * [`queue`], [`place`], [`predict`] and [`health`] choose which call runs next, and where;
-//! * [`route`], [`request`], [`fleet`] and [`spend`] serve requests that are routed by host and path;
+//! * [`route`], [`request`], [`fleet`], [`steward`] and [`spend`] serve requests that are routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons.
 
 pub mod attempt;
@@ -28,3 +28,4 @@
 pub mod request;
 pub mod route;
 pub mod spend;
+pub mod steward;
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -10,6 +10,7 @@
 //!   by compare-and-swap, so most programs cost no write and a program that spends much is known to
 //!   every later owner; while no more than the free share is handed out, turns do not wait for the
 //!   draw, so that a slow or absent platform does not stop them;
+//! * an owner that does not know a program asks the member that owned it before, or stood in;
 //! * an owner that has not been there from the start charges an unknown program the free share, the
 //!   most that can have been spent without a record.
 //!
@@ -102,6 +103,20 @@
     pub assumed: Tokens,
 }
 
+/// All that an owner knows of a program, for the owner that takes its place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inheritance {
+    budget: Tokens,
+    assumed: Tokens,
+    recorded: bool,
+    handed_out: IndexMap<VmId, Tokens>,
+    reserved: IndexMap<RequestId, Tokens>,
+    allowed: Tokens,
+    free: Tokens,
+    stopped: bool,
+    retention: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Reservation {
     most: Tokens,
@@ -269,6 +284,44 @@
         self.accounts.contains_key(program)
     }
 
+    /// Gives a program away to the owner that asks for it.
+    pub fn give(&mut self, program: &str) -> Option<Inheritance> {
+        let account = self.accounts.swap_remove(program)?;
+        let reserved = account.reservations.into_iter().map(|(id, held)| (id, held.most));
+        Some(Inheritance {
+            budget: account.budget,
+            assumed: account.assumed,
+            recorded: account.recorded,
+            handed_out: account.handed_out,
+            reserved: reserved.collect(),
+            allowed: account.allowed,
+            free: account.free,
+            stopped: account.stopped,
+            retention: account.retention,
+        })
+    }
+
+    /// Takes a program over from the owner that knew it.
+    pub fn inherit(&mut self, program: ProgramId, from: Inheritance, now: Instant) {
+        let reservations = from.reserved.into_iter();
+        let account = Account {
+            budget: from.budget,
+            assumed: from.assumed,
+            recorded: from.recorded,
+            handed_out: from.handed_out,
+            reservations: reservations
+                .map(|(id, most)| (id, Reservation { most, since: now }))
+                .collect(),
+            allowed: from.allowed,
+            free: from.free,
+            drawing: false,
+            stopped: from.stopped,
+            used: now,
+            retention: from.retention,
+        };
+        self.accounts.insert(program, account);
+    }
+
     /// Notes a draw of `tokens` that is durable.
     pub fn draw(&mut self, program: &str, tokens: Tokens) {
         if let Some(account) = self.accounts.get_mut(program) {
--- a/crates/sched/tests/spend.rs
+++ b/crates/sched/tests/spend.rs
@@ -135,6 +135,24 @@
         assert_eq!((standing.known, standing.assumed), (300, 500));
     }
 
+    an_owner_inherits_what_the_former_one_knew {
+        let now = Instant::now();
+        let mut former = Ledger::default();
+        // Seven turns run at once through daemons that the next owner has not heard of.
+        for turn in 0..7 {
+            let granted = former.reserve(&ask(&format!("r{turn}"), "a", 0), true, now);
+            assert!(matches!(granted, Verdict::Granted { .. }), "{granted:?}");
+        }
+        let inheritance = former.give("p").expect("the former owner knows the program");
+        let mut next = Ledger::default();
+        next.inherit("p".into(), inheritance, now);
+        let standing = next.explain("p").expect("the next owner knows the program");
+        assert_eq!((standing.reserved, standing.assumed), (700, 0));
+        assert!(!former.knows("p"));
+        next.settle("p", "r0", "a", 30);
+        assert_eq!(next.explain("p").expect("it is known").known, 30);
+    }
+
     a_lost_daemons_turn_is_charged_at_its_most {
         let mut ledger = Ledger::default();
         let now = Instant::now();
--- a/crates/testing/src/gate.rs
+++ b/crates/testing/src/gate.rs
@@ -131,6 +131,7 @@
                 seeds: seeds.clone(),
                 kv: gate.kv.url().into(),
                 cluster_key: "key-of-the-gate-tests".to_owned(),
+                cpu_share: 1.0,
                 first_start: true,
                 limits: Limits { lease_ttl_ms: 2_000, ..Limits::default() },
             };
