--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -271,9 +271,7 @@
         if let Some(found) = only.as_ref().and_then(registration) {
             return Some((found, None));
         }
-        if self.route.kind.streams()
-            && let Some(booked) = self.context.stewards.book(self.booking()).await
-        {
+        if let Some(booked) = self.context.stewards.book(self.booking()).await {
             return Some((booked.registration.clone(), Some(booked)));
         }
         self.place(Instant::now()).map(|found| (found, None))
@@ -283,7 +281,7 @@
         let facts = &self.arrival.facts;
         steward::Ask {
             request: facts.id.clone(),
-            program: facts.program.clone().unwrap_or_else(|| facts.affinity().into()),
+            program: self.route.kind.streams().then(|| facts.program.clone()).flatten(),
             service: self.service.clone(),
             avoid: self.attempt.refused_by().to_vec(),
         }
--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -1,10 +1,10 @@
-//! Placement of turns by one daemon that sees all of a group of engines.
+//! Placement by one daemon that sees all of a group of endpoints.
 //!
-//! A daemon knows the load of an engine only by its own requests. With many daemons before few
-//! engines that is nearly nothing, and turns spread as if by lot: some engines queue while others
-//! have room. So the engines of one service in one data centre have a steward among the daemons there,
-//! which books each turn and knows what runs where. A steward answers for some tens of engines, so
-//! its load stays the same when the fleet grows.
+//! A daemon knows the load of an endpoint only by its own requests. With many daemons before few
+//! endpoints that is nearly nothing, and requests spread as if by lot: some endpoints queue while
+//! others have room. So the endpoints of one service in one data centre have a steward among the
+//! daemons there, which books each request and knows what runs where. A steward answers for some tens
+//! of endpoints, so its load stays the same when the fleet grows.
 //!
 //! A program's turns go to the engine that keeps its prompt while that engine has room; reading a
 //! prompt again costs more than one more neighbour in the batch. Other turns go to the engine with
@@ -24,20 +24,20 @@
 /// Programs whose engines are remembered; the oldest are forgotten first.
 const MAX_HOMES: usize = 8_192;
 
-/// A turn that asks for an engine.
+/// A request that asks for an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     /// The turn's request.
     pub request: RequestId,
-    /// Its program.
-    pub program: ProgramId,
+    /// Its program, for a turn of one.
+    pub program: Option<ProgramId>,
     /// The service.
     pub service: crate::id::ServiceId,
-    /// Engines that have refused it.
+    /// Endpoints that have refused it.
     pub avoid: Vec<EndpointId>,
 }
 
-/// A booked engine.
+/// A booked endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Booking {
     /// The engine.
@@ -64,13 +64,14 @@
     /// Books an engine of the data centre `dc`.
     pub fn book(&mut self, fleet: &Fleet, dc: &str, ask: &Ask, now: Instant) -> Option<Booking> {
         self.release(&ask.request);
-        let home = self.homes.get(&ask.program);
+        let home = ask.program.as_ref().and_then(|program| self.homes.get(program));
+        let shared = ask.program.as_ref().unwrap_or(&ask.request);
         let usable = fleet.usable(&ask.service, now).filter(|candidate| {
             candidate.registration.dc == dc && !ask.avoid.contains(&candidate.registration.id)
         });
         let best = usable.min_by(|left, right| {
             let order = (left.ejected, left.full).cmp(&(right.ejected, right.full));
-            let cost = |found: &Registration| self.cost(found, home, &ask.program);
+            let cost = |found: &Registration| self.cost(found, home, shared);
             order.then_with(|| cost(left.registration).total_cmp(&cost(right.registration)))
         })?;
         let endpoint = best.registration.id.clone();
@@ -78,7 +79,9 @@
         *self.booked.entry(endpoint.clone()).or_default() += 1;
         let ticket = Ticket { endpoint: endpoint.clone(), since: now };
         self.tickets.insert(ask.request.clone(), ticket);
-        self.remember(&ask.program, &endpoint);
+        if let Some(program) = &ask.program {
+            self.remember(program, &endpoint);
+        }
         Some(Booking { endpoint, load })
     }
 
