Ask the former owner before the records, and document operations

Change: an owner asks the member that owned the program or stood in, and reads the records, at most every 5 s, only when that knows nothing; without any member a daemon decides after reading them. The gateway tests wait until the daemons know each other.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -28,7 +28,9 @@
 /// Bound of asking the former owner of a program.
 const INHERIT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Age of the records read from the platform at which a takeover reads them again.
-const RECORDS_MAX_AGE: Duration = Duration::from_secs(2);
+///
+/// What was recorded since is known to the member that the owner asks first.
+const RECORDS_MAX_AGE: Duration = Duration::from_secs(5);
 
 /// Why no reservation was made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -143,18 +145,18 @@
         let ask = spend::Ask { handed_out: self.handed_out(&ask.program), ..ask };
         for _ in 0..MAX_OWNERS {
             let now = Instant::now();
-            let Some((owner, first)) = self.owner(&ask.program, now) else {
-                return Err(Error::NoOwner);
-            };
-            let granted = match owner.vm == self.settings.vm {
-                true => Reply::of(self.decide(&ask, first).await),
-                false => self.ask_peer(&owner, &ask).await,
+            let granted = match self.owner(&ask.program, now) {
+                Some((owner, first)) if owner.vm == self.settings.vm => {
+                    Reply::of(self.decide(&ask, first).await)
+                }
+                Some((owner, _)) => self.ask_peer(&owner, &ask).await,
+                None => Reply::of(self.decide_alone(&ask).await),
             };
             match granted {
                 Reply::Granted => return Ok(Reservation::new(self.clone(), ask)),
                 Reply::Exhausted => return Err(Error::Exhausted),
                 Reply::CannotTell => return Err(Error::NoOwner),
-                Reply::Silence => self.suspects.suspect(&owner.vm, now),
+                Reply::Silence => {}
             }
         }
         Err(Error::NoOwner)
@@ -191,6 +193,7 @@
                 }
             }
             None => {
+                self.suspects.suspect(&owner.vm, Instant::now());
                 self.peers.forget(&owner.addr);
                 log::info!(
                     target: "budget", request = ask.request.as_str(), owner = owner.vm.as_str();
@@ -231,6 +234,15 @@
         }
     }
 
+    /// Decides when no member answers: this daemon's own key is not written yet, or has lapsed.
+    ///
+    /// Without the durable records nobody would know of programs that were stopped.
+    async fn decide_alone(self: &Arc<Self>, ask: &spend::Ask) -> Option<bool> {
+        let records = self.records.list().await.ok()?;
+        self.ledger().learn(records);
+        self.decide(ask, false).await
+    }
+
     /// Learns what others know of a program that this owner does not know.
     async fn take_over(&self, ask: &spend::Ask) -> Option<()> {
         let stripe = members::stripe(&ask.program, self.takeovers.len());
@@ -238,13 +250,23 @@
         if self.ledger().knows(&ask.program) {
             return Some(());
         }
-        self.refresh_records().await?;
+        match self.ask_former(ask).await {
+            Some(inheritance) => {
+                self.ledger().inherit(ask.program.clone(), inheritance, Instant::now());
+                Some(())
+            }
+            None => self.refresh_records().await,
+        }
+    }
+
+    /// Asks the member that owned a program, or stood in, for what it knows.
+    async fn ask_former(&self, ask: &spend::Ask) -> Option<spend::Inheritance> {
         let now = Instant::now();
         let all = self.view.members_since(ask.retention, now);
-        let former = members::successor(&ask.program, &all, &self.settings.vm);
-        let Some(former) = former.filter(|former| !self.suspects.contains(&former.vm, now)) else {
-            return Some(());
-        };
+        let former = members::successor(&ask.program, &all, &self.settings.vm)?;
+        if self.suspects.contains(&former.vm, now) {
+            return None;
+        }
         let request = Request::Gateway(Box::new(Ask::Inherit(ask.program.clone())));
         let answer = async {
             let mut replies = self.peers.call(&former.addr, &request).await.ok()?;
@@ -253,14 +275,11 @@
                 _ => None,
             }
         };
-        match timeout(INHERIT_TIMEOUT, answer).await.ok().flatten() {
-            Some(Some(inheritance)) => {
-                self.ledger().inherit(ask.program.clone(), *inheritance, Instant::now());
-            }
-            Some(None) => {}
-            None => self.suspects.suspect(&former.vm, now),
+        let answer = timeout(INHERIT_TIMEOUT, answer).await.ok().flatten();
+        if answer.is_none() {
+            self.suspects.suspect(&former.vm, now);
         }
-        Some(())
+        answer.flatten().map(|inheritance| *inheritance)
     }
 
     /// Gives a program away to the owner that asks for it.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -207,7 +207,7 @@
         }
         let follower = self.clone();
         tokio::spawn(async move {
-            let Follower { kv, view, settings, .. } = &follower;
+            let Self { kv, view, settings, .. } = &follower;
             retire::report(kv, view, &settings.vm, &vm).await;
         });
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use platform::header;
 use sched::attempt::{self, Attempt, Loss, Next};
 use sched::fleet::{Need, Registration};
-use sched::id::EndpointId;
+use sched::id::{EndpointId, Version};
 use sched::request::Facts;
 use sched::route::{Route, Table};
 use sched::spend;
@@ -114,6 +114,8 @@
     pub route: Route,
     service: CompactString,
     attempt: Attempt,
+    /// Version of the configuration that routed it.
+    version: Version,
     until: Instant,
 }
 
@@ -143,6 +145,7 @@
     let wait = arrival.facts.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
     let trip = Trip {
         attempt: Attempt::new(route.kind, route.max_attempts),
+        version: table.version,
         until: arrival.at + wait,
         service: service.clone(),
         route: route.clone(),
@@ -517,7 +520,10 @@
             request = self.arrival.facts.id.as_str(),
             program = self.arrival.facts.program.as_deref().unwrap_or_default(),
             route = self.route.name.as_str(),
+            kind = format!("{:?}", self.route.kind),
             reason = reason.name(),
+            config = self.version,
+            revision = self.context.view.revision(),
             age_ms = self.arrival.at.elapsed().as_millis() as u64,
             tries = self.attempt.refused_by().len();
             "the daemon answers itself"
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -158,6 +158,9 @@
     if chunked {
         response = closing(response);
     }
+    let status = response.status().as_u16().to_string();
+    let elapsed = at.elapsed().as_secs_f64();
+    metrics::histogram!("answer_head_seconds", "status" => status).record(elapsed);
     response
 }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -136,7 +136,8 @@
     /// Tells whether the daemon knows enough to serve.
     pub fn complete(&self) -> bool {
         let state = self.lock();
-        state.table.is_some() && !state.fleet.is_empty()
+        // Without members no budget has an owner, so every turn would be refused.
+        state.table.is_some() && !state.fleet.is_empty() && !state.members.is_empty()
     }
 
     /// Puts a configuration in force unless it is older than the present one.
@@ -247,7 +248,12 @@
     }
 
     fn notify(&self) {
-        let revision = self.revision();
+        let (revision, members, endpoints) = {
+            let state = self.lock();
+            (state.revision, state.members.len(), state.fleet.len())
+        };
+        metrics::gauge!("view_members").set(members as f64);
+        metrics::gauge!("view_endpoints").set(endpoints as f64);
         self.changed.send_replace(revision);
     }
 }
--- /dev/null
+++ b/crates/sched/tests/steward.rs
@@ -0,0 +1,121 @@
+//! Bookings of endpoints by their steward.
+
+use sched::fleet::{Fleet, Registration, State};
+use sched::steward::{Ask, Board};
+use std::time::{Duration, Instant};
+
+const SLOTS: u32 = 4;
+
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 0..count {
+        fleet.register(Registration {
+            id: format!("e{number}").into(),
+            service: "s".into(),
+            addr: ([10, 0, 0, 1], 80).into(),
+            dc: "here".into(),
+            slots: SLOTS,
+            state: State::Ready,
+            incarnation: 1,
+        });
+    }
+    fleet
+}
+
+fn ask(request: &str, program: Option<&str>) -> Ask {
+    Ask {
+        request: request.into(),
+        program: program.map(Into::into),
+        service: "s".into(),
+        avoid: Vec::new(),
+    }
+}
+
+/// Books requests and returns the loads that they found.
+fn loads(board: &mut Board, fleet: &Fleet, count: usize, now: Instant) -> Vec<f64> {
+    let booked = (0..count)
+        .filter_map(|number| board.book(fleet, "here", &ask(&format!("r{number}"), None), now));
+    booked.map(|booking| booking.load).collect()
+}
+
+macro_rules! cases {
+    ($($name:ident($now:ident) $body:block)*) => {
+        $(#[test] fn $name() { let $now = Instant::now(); $body })*
+    };
+}
+
+cases! {
+    a_burst_fills_all_endpoints_before_any_queues(now) {
+        let fleet = fleet(9);
+        let loads = loads(&mut Board::default(), &fleet, 9 * SLOTS as usize, now);
+        assert_eq!(loads.len(), 36);
+        assert!(loads.iter().all(|load| *load < 1.0), "{loads:?}");
+    }
+
+    daemons_without_a_steward_queue_in_the_same_burst(now) {
+        // Each of 36 daemons has one request and sees no other's: placement is by lot.
+        let fleet = fleet(9);
+        let mut counts = std::collections::BTreeMap::new();
+        for number in 0..36 {
+            let need = sched::fleet::Need {
+                dc: "here",
+                affinity: &format!("p{number}"),
+                affinity_load: 0.3,
+                avoid: &[],
+            };
+            let choice = fleet.place("s", &need, &mut fastrand::Rng::with_seed(1), now);
+            *counts.entry(choice.expect("an endpoint").registration.id).or_insert(0_u32) += 1;
+        }
+        assert!(counts.values().any(|count| *count > SLOTS), "{counts:?}");
+    }
+
+    a_program_stays_with_the_engine_that_has_its_prompt(now) {
+        let (fleet, mut board) = (fleet(9), Board::default());
+        let first = board.book(&fleet, "here", &ask("r0", Some("p")), now).expect("an engine");
+        board.release("r0");
+        loads(&mut board, &fleet, 18, now);
+        let next = board.book(&fleet, "here", &ask("next", Some("p")), now).expect("an engine");
+        assert_eq!(first.endpoint, next.endpoint);
+    }
+
+    a_program_leaves_an_engine_that_is_full(now) {
+        let (fleet, mut board) = (fleet(2), Board::default());
+        let first = board.book(&fleet, "here", &ask("r0", Some("p")), now).expect("an engine");
+        for turn in 1..SLOTS {
+            board.book(&fleet, "here", &ask(&format!("r{turn}"), Some("p")), now);
+        }
+        let next = board.book(&fleet, "here", &ask("next", Some("p")), now).expect("an engine");
+        assert_ne!(first.endpoint, next.endpoint);
+    }
+
+    a_released_booking_leaves_room(now) {
+        let (fleet, mut board) = (fleet(1), Board::default());
+        board.book(&fleet, "here", &ask("r0", None), now);
+        board.release("r0");
+        board.release("r0");
+        let booking = board.book(&fleet, "here", &ask("r1", None), now).expect("an engine");
+        assert!(booking.load.abs() < f64::EPSILON);
+    }
+
+    a_booking_of_a_lost_daemon_lapses(now) {
+        let (fleet, mut board) = (fleet(1), Board::default());
+        board.book(&fleet, "here", &ask("r0", None), now);
+        board.sweep(now + Duration::from_secs(1));
+        assert_eq!(board.len(), 1);
+        board.sweep(now + Duration::from_secs(30));
+        assert!(board.is_empty());
+    }
+
+    a_failed_endpoint_is_booked_last(now) {
+        let (mut fleet, mut board) = (fleet(2), Board::default());
+        fleet.fail("e0", now);
+        for number in 0..4 {
+            let booking = board.book(&fleet, "here", &ask(&format!("r{number}"), None), now);
+            assert_eq!(booking.expect("an engine").endpoint, "e1");
+        }
+    }
+
+    another_data_centre_has_another_steward(now) {
+        assert!(Board::default().book(&fleet(2), "there", &ask("r0", None), now).is_none());
+    }
+}
--- a/crates/testing/src/gate.rs
+++ b/crates/testing/src/gate.rs
@@ -45,6 +45,14 @@
         reqwest::get(url).await.is_ok_and(|answer| answer.status().is_success())
     }
 
+    /// Number of members that the daemon knows.
+    pub async fn members(&self) -> Option<usize> {
+        let url = format!("http://{}/metrics", self.settings.probe_addr);
+        let text = reqwest::get(url).await.ok()?.text().await.ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("view_members "));
+        line?.parse().ok()
+    }
+
     /// Waits until the daemon reports itself ready.
     ///
     /// # Panics
@@ -137,10 +145,24 @@
             };
             gate.launch(binary, settings);
         }
-        for daemon in &gate.daemons {
+        gate.settled().await;
+        gate
+    }
+
+    /// Waits until all daemons are ready and know each other.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that never comes.
+    pub async fn settled(&self) {
+        for daemon in &self.daemons {
             daemon.ready().await;
+            let started = Instant::now();
+            while daemon.members().await != Some(self.daemons.len()) {
+                assert!(started.elapsed() < PATIENCE, "{} lacks members", daemon.settings.vm);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
         }
-        gate
     }
 
     fn launch(&mut self, binary: &str, settings: Settings) {
