--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -69,6 +69,12 @@
     }
 }
 
+/// Builds an answer of the daemon itself to a request that has no route yet, with its log line.
+pub fn early(reason: Reason, id: &str, retry_after: Option<Duration>) -> Response<Body> {
+    log::info!(target: "answer", request = id, reason = reason.name(); "no route is known");
+    own(reason, id, retry_after)
+}
+
 /// Builds an answer of the daemon itself.
 pub fn own(reason: Reason, id: &str, retry_after: Option<Duration>) -> Response<Body> {
     metrics::counter!("own_answers_total", "reason" => reason.name()).increment(1);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -137,10 +137,10 @@
     let host = arrival.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or(arrival.uri.host()).unwrap_or_default();
     let Some(route) = table.find(host, arrival.uri.path()) else {
-        return answer::own(Reason::NoRoute, &id, None);
+        return answer::early(Reason::NoRoute, &id, None);
     };
     let Some(service) = route.service(arrival.facts.affinity()) else {
-        return answer::own(Reason::NoEndpoint, &id, context.retry_after(RETRY_NO_ENDPOINT));
+        return answer::early(Reason::NoEndpoint, &id, context.retry_after(RETRY_NO_ENDPOINT));
     };
     let wait = arrival.facts.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
     let trip = Trip {
@@ -515,8 +515,14 @@
     }
 
     fn own(&self, reason: Reason, retry_after: Option<Duration>) -> Response<Body> {
-        log::info!(
+        // Lines below warnings may be left out under load; this one must not.
+        let level = match reason {
+            Reason::Unknown | Reason::Deadline => log::Level::Warn,
+            _ => log::Level::Info,
+        };
+        log::log!(
             target: "answer",
+            level,
             request = self.arrival.facts.id.as_str(),
             program = self.arrival.facts.program.as_deref().unwrap_or_default(),
             route = self.route.name.as_str(),
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -150,10 +150,10 @@
             Some(table) => forward::serve(context, &table, arrival).await,
             None => {
                 let id = &arrival.facts.id;
-                answer::own(Reason::NotConfigured, id, Some(RETRY_UNCONFIGURED))
+                answer::early(Reason::NotConfigured, id, Some(RETRY_UNCONFIGURED))
             }
         },
-        Err((reason, id)) => closing(answer::own(reason, &id, None)),
+        Err((reason, id)) => closing(answer::early(reason, &id, None)),
     };
     if chunked {
         response = closing(response);
