Delete budget records when their time is over, and share idle connections

Cause: records of stopped programs stayed in the key-value service for ever, and 58 daemons with up to eight idle connections each could keep 464 open where an endpoint takes 440. Change: the first delegate deletes what is past its retention and a margin for clocks, guarded by revision; a daemon keeps half of its part of an endpoint's connections idle.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -296,6 +296,22 @@
     assert_eq!(endpoint.runs().len(), 5);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn records_are_deleted_when_their_time_is_over() {
+    let endpoint = Endpoint::start("e-1", Act::Answer).await;
+    let gate = Gate::start(BINARY, "trim", 1, &[&endpoint]).await;
+    let records = gateway::records::Records::new(gate.store.clone());
+    let record = |keep_until_ms| sched::spend::Record { budget: 9, drawn: 9, keep_until_ms };
+    for number in 0..40 {
+        let name = format!("old-{number}");
+        records.update(&name, |_| Some(record(1_000))).await.expect("a write");
+    }
+    records.update("young", |_| Some(record(500_000))).await.expect("a write");
+    assert_eq!(records.trim(400_000).await.expect("a deletion"), 40);
+    let left = records.list().await.expect("an answer");
+    assert_eq!(left, [("young".into(), record(500_000))]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_program_goes_on_while_its_owner_is_gone() {
     let endpoint = Endpoint::start("e-1", streaming(2, Duration::from_millis(1))).await;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -26,6 +26,8 @@
 
 /// Interval of dropping what is no longer needed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of deleting durable records whose time is over.
+const TRIM_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause before a failed registration is tried again.
 const REGISTER_RETRY: Duration = Duration::from_millis(500);
 
@@ -148,9 +150,14 @@
 }
 
 async fn sweep(context: Arc<Shared>) {
+    let mut trimmed = Instant::now();
     loop {
         sleep(SWEEP_INTERVAL).await;
         let now = Instant::now();
+        if now.duration_since(trimmed) >= TRIM_INTERVAL {
+            trimmed = now;
+            context.desk.trim().await;
+        }
         context.pool.sweep(now);
         context.desk.sweep(now);
         context.stewards.sweep(now);
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -421,6 +421,19 @@
         self.ledger().settle(program, request, daemon, *handed_out);
     }
 
+    /// Deletes durable records whose time is over, where this daemon is the first delegate.
+    pub async fn trim(&self) {
+        let first = self.view.with_members(|live| members::delegates(live).into_iter().next());
+        if first != Some(compact_str::format_compact!("{}", self.settings.peer_addr)) {
+            return;
+        }
+        match self.records.trim(unix_ms()).await {
+            Ok(0) => {}
+            Ok(count) => log::info!(target: "budget", count; "records are deleted"),
+            Err(error) => log::info!(target: "budget", "records are not deleted yet: {error}"),
+        }
+    }
+
     /// Drops what is no longer needed.
     pub fn sweep(&self, now: Instant) {
         self.ledger().sweep(now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -156,6 +156,16 @@
 }
 
 impl Trip {
+    /// Idle connections to one endpoint that this daemon may keep: half of its part of those that
+    /// the endpoint takes from all daemons.
+    pub fn idle_share(&self) -> usize {
+        let daemons = self.context.view.with_members(indexmap::IndexMap::len).max(1);
+        let table = self.context.view.table();
+        let service = table.as_ref().and_then(|table| table.services.get(&self.service));
+        let most = service.map_or(0, |service| service.max_connections as usize);
+        (most / daemons / 2).max(1)
+    }
+
     /// Time left.
     fn left(&self, now: Instant) -> Duration {
         self.until.saturating_duration_since(now)
@@ -461,7 +471,8 @@
             Ok(Ok(collected)) => {
                 let keep_alive = header::keep_alive(&parts.headers);
                 if !closes(&parts.headers) {
-                    self.context.pool.keep(link, keep_alive, Instant::now());
+                    let share = self.idle_share();
+                    self.context.pool.keep(link, keep_alive, share, Instant::now());
                 }
                 let mut answer = Response::new(answer::full(collected.to_bytes()));
                 *answer.status_mut() = parts.status;
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -6,7 +6,7 @@
 
 use crate::members;
 use indexmap::IndexMap;
-use platform::kv::{Client, Error, Revision, Swap};
+use platform::kv::{Client, Entry, Error, Revision, Swap};
 use sched::id::ProgramId;
 use sched::spend::Record;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -17,6 +17,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which the service is not called after it did not answer.
 const REST: Duration = Duration::from_millis(800);
+/// Difference of clocks that a record outlives its time for, in milliseconds.
+const CLOCK_MARGIN_MS: u64 = 60_000;
 /// Tries of one update against those of other owners.
 const MAX_TRIES: u32 = 4;
 /// Records whose revisions are kept; the oldest are dropped first.
@@ -122,6 +124,23 @@
         Ok(known)
     }
 
+    /// Deletes records whose time is over at `now_ms`, in milliseconds since the Unix epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the service is out of reach; the next call goes on.
+    pub async fn trim(&self, now_ms: u64) -> Result<usize, Error> {
+        let listing = self.kv.list(members::RECORDS, "").await?;
+        let over = |value: &[u8]| match serde_json::from_slice::<Record>(value) {
+            Ok(record) => record.keep_until_ms + CLOCK_MARGIN_MS < now_ms,
+            Err(_) => false,
+        };
+        let over: Vec<Entry> =
+            listing.entries.into_iter().filter(|entry| over(&entry.value)).collect();
+        self.kv.delete_unchanged(&over).await?;
+        Ok(over.len())
+    }
+
     /// Reads all records.
     ///
     /// # Errors
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -166,7 +166,8 @@
             drop(source.visit);
             if !source.closes {
                 let pool = &self.trip.context.pool;
-                pool.keep(source.link, source.keep_alive, Instant::now());
+                let share = self.trip.idle_share();
+                pool.keep(source.link, source.keep_alive, share, Instant::now());
             }
         }
         self.reservation = None;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -143,7 +143,9 @@
     }
 
     /// Keeps a connection whose answer was read to its end.
-    pub fn keep(&self, mut link: Link, keep_alive: Option<Duration>, now: Instant) {
+    ///
+    /// At most `share` idle connections stay open, this daemon's share of what the endpoint takes.
+    pub fn keep(&self, mut link: Link, keep_alive: Option<Duration>, share: usize, now: Instant) {
         if link.sender.is_closed() {
             return;
         }
@@ -153,7 +155,7 @@
         link.reused = true;
         let mut pool = self.lock();
         let links = pool.entry(link.endpoint.clone()).or_default();
-        if links.len() < MAX_IDLE {
+        if links.len() < MAX_IDLE.min(share) {
             links.push(link);
         }
     }
