--- a/crates/catkinshed/src/daemon.rs
+++ b/crates/catkinshed/src/daemon.rs
@@ -7,10 +7,10 @@
 use crate::settings::{Injected, Settings, millis};
 use crate::traffic::{session, vms, watch as watches};
 use anyhow::{Context, Result};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use gateway::flights::Flights;
 use peer::wire::{Reply, Request};
 use platform::kv;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -20,41 +20,6 @@
 /// Bound of connecting to a peer or an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Count of requests under way.
-#[derive(Clone, Debug)]
-pub struct Flights(Arc<watch::Sender<usize>>);
-
-impl Default for Flights {
-    fn default() -> Self {
-        Self(Arc::new(watch::Sender::new(0)))
-    }
-}
-
-impl Flights {
-    /// Counts a request until its guard is dropped.
-    pub fn begin(&self) -> Flight {
-        self.0.send_modify(|count| *count += 1);
-        Flight(self.clone())
-    }
-
-    /// Waits until no request is under way.
-    pub async fn landed(&self) {
-        let mut receiver = self.0.subscribe();
-        // The sender lives as long as `self`, so waiting cannot fail.
-        let _ = receiver.wait_for(|count| *count == 0).await;
-    }
-}
-
-/// A request under way.
-#[derive(Debug)]
-pub struct Flight(Flights);
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.0.0.send_modify(|count| *count -= 1);
-    }
-}
-
 /// A running daemon.
 pub struct Daemon {
     settings: Arc<Settings>,
@@ -94,7 +59,7 @@
             kv: kv.clone(),
             ready: ready.clone(),
             flights: flights.clone(),
-            metrics: recorder(),
+            metrics: gateway::probes::recorder(),
         };
         let rocket = http::build(app).ignite().await;
         let rocket = rocket.map_err(|error| anyhow::anyhow!("HTTP server: {}", error.kind()))?;
@@ -212,20 +177,6 @@
     })
 }
 
-/// Installs the process's metrics recorder once; daemons in one process share it.
-fn recorder() -> PrometheusHandle {
-    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
-    let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        if metrics::set_global_recorder(recorder).is_err() {
-            log::warn!("another metrics recorder is installed; /metrics stays empty");
-        }
-        handle
-    };
-    RECORDER.get_or_init(install).clone()
-}
-
 async fn tick(events: Events) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/catkinshed/src/http/caller.rs
+++ b/crates/catkinshed/src/http/caller.rs
@@ -6,9 +6,9 @@
 use super::App;
 use super::answer::{self, Answer};
 use super::auth::Team;
-use crate::daemon::Flight;
 use caller::api;
 use compact_str::CompactString;
+use gateway::flights::Flight;
 use peer::wire::{Ask, Asker, Position, Reply};
 use rocket::data::{Data, ToByteUnit};
 use rocket::response::stream::{Event, EventStream};
--- a/crates/catkinshed/src/http/mod.rs
+++ b/crates/catkinshed/src/http/mod.rs
@@ -8,9 +8,9 @@
 
 use crate::control::Ready;
 use crate::control::event::Events;
-use crate::daemon::Flights;
 use crate::entry::Entry;
 use crate::settings::Settings;
+use gateway::flights::Flights;
 use metrics_exporter_prometheus::PrometheusHandle;
 use platform::kv;
 use std::sync::Arc;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,9 +5,10 @@
 //! balancer takes a while to see it; then connections close after their request under way.
 
 use crate::desk::Desk;
+use crate::flights::Flights;
 use crate::follow::{FEEDS, FIRST_FEED, Follower, Part, Sources};
 use crate::forward::Context as Shared;
-use crate::ingress::{self, Flights, Phase};
+use crate::ingress::{self, Phase};
 use crate::members;
 use crate::peers;
 use crate::probes::{self, Probe};
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -194,6 +194,9 @@
                 Ok(response) => return response,
                 Err(Next::Anywhere | Next::Same(_)) => {}
                 Err(Next::RefuseNotRun) => return self.give_up(Reason::NoEndpoint),
+                Err(Next::Unknown) if Instant::now() >= self.due() => {
+                    return self.give_up(Reason::Deadline);
+                }
                 Err(Next::Unknown) => return self.give_up(Reason::Unknown),
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,8 +10,8 @@
 //! * [`view`] is what the daemon believes of the configuration, the endpoints and its peers;
 //! * [`follow`] keeps the view up to date from the key-value service, and from peers when the
 //!   service turns this daemon away;
-//! * [`desk`] reserves tokens of programs' budgets at their owners, [`records`] keeps what of them
-//!   must last;
+//! * [`desk`] reserves tokens of programs' budgets, [`owner`] decides on them, [`records`] keeps what
+//!   of them must last;
 //! * [`stewards`] books engines, so that daemons do not crowd some while others have room;
 //! * [`retire`] answers requests to empty a storage VM;
 //! * [`probes`] answers readiness and metrics, [`daemon`] starts and stops the parts.
@@ -22,10 +22,12 @@
 pub mod answer;
 pub mod daemon;
 pub mod desk;
+pub mod flights;
 pub mod follow;
 pub mod forward;
 pub mod ingress;
 pub mod members;
+pub mod owner;
 pub mod peers;
 pub mod probes;
 pub mod records;
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -43,8 +43,8 @@
     recorder.render()
 }
 
-/// Installs the process's metrics recorder once.
-fn recorder() -> PrometheusHandle {
+/// Installs the process's metrics recorder once; daemons in one process share it.
+pub fn recorder() -> PrometheusHandle {
     static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
     let install = || {
         let recorder = PrometheusBuilder::new().build_recorder();
