Refuse calls that reach the key-value stand-in while it is down

Cause: two checks of injected faults saw nothing in one whole run of the suite beside other processes. an_order_before_its_intent_runs_twice: the stand-in looked for an outage only after its latency, so a write that came in the outage took effect when the outage ended within these 2 ms, and the order's intent was durable after all. an_unfenced_owner_loses_history: the deaf daemon listed the owners at once after its pause, before its clients came back. Both checks keep what they assert.

--- a/crates/catkinshed/src/traffic/watch.rs
+++ b/crates/catkinshed/src/traffic/watch.rs
@@ -49,8 +49,10 @@
         true
     });
     if deaf.is_some() {
-        // The next listing tells what was not heard.
-        return tokio::time::timeout(DEAF_FOR, watch).await.unwrap_or(Ok(()));
+        // The next listing tells what was not heard, a while after a pause that ended the watch.
+        let result = tokio::time::timeout(DEAF_FOR, watch).await.unwrap_or(Ok(()));
+        tokio::time::sleep(DEAF_FOR).await;
+        return result;
     }
     watch.await
 }
--- a/crates/testing/src/kv.rs
+++ b/crates/testing/src/kv.rs
@@ -264,7 +264,8 @@
 async fn admit(app: &Shared, write: bool) -> Result<(), Status> {
     let faults = app.faults.kv();
     tokio::time::sleep(app.latency + faults.delay).await;
-    if app.faults.kv().down {
+    // A call that came while the service was down has no effect, also when it is back meanwhile.
+    if faults.down || app.faults.kv().down {
         return Err(Status::ServiceUnavailable);
     }
     let mut store = app.lock();
