Read a program's record anew when its former owner is silent

Change: the record is read anew in this case; a former owner that knows nothing of a program makes it a new one, as before.

--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -23,6 +23,13 @@
 /// What was recorded since is known to the member that the owner asks first.
 const RECORDS_MAX_AGE: Duration = Duration::from_secs(5);
 
+/// What the member that owned a program, or stood in, knew of it.
+enum Former {
+    Knew(Box<spend::Inheritance>),
+    KnewNothing,
+    Silent,
+}
+
 impl Desk {
     /// Decides as the owner; `None` when the durable record cannot be reached.
     pub async fn decide(self: &Arc<Self>, ask: &spend::Ask, first: bool) -> Option<bool> {
@@ -71,21 +78,35 @@
             return Some(());
         }
         match self.ask_former(ask).await {
-            Some(inheritance) => {
-                self.ledger().inherit(ask.program.clone(), inheritance, Instant::now());
+            Former::Knew(inheritance) => {
+                self.ledger().inherit(ask.program.clone(), *inheritance, Instant::now());
                 Some(())
             }
-            None => self.refresh_records().await,
+            Former::KnewNothing => self.refresh_records().await,
+            Former::Silent => self.read_record(&ask.program).await,
+        }
+    }
+
+    /// Reads a program's record as it is now, since its former owner may just have drawn on it.
+    async fn read_record(&self, program: &ProgramId) -> Option<()> {
+        match self.records.read(program).await {
+            Ok(record) => {
+                self.ledger().learn(record.map(|record| (program.clone(), record)));
+                Some(())
+            }
+            Err(_) => self.refresh_records().await,
         }
     }
 
     /// Asks the member that owned a program, or stood in, for what it knows.
-    async fn ask_former(&self, ask: &spend::Ask) -> Option<spend::Inheritance> {
+    async fn ask_former(&self, ask: &spend::Ask) -> Former {
         let now = Instant::now();
         let all = self.view.members_since(ask.retention, now);
-        let former = members::successor(&ask.program, &all, &self.settings.vm)?;
+        let Some(former) = members::successor(&ask.program, &all, &self.settings.vm) else {
+            return Former::KnewNothing;
+        };
         if self.suspects.contains(&former.vm, now) {
-            return None;
+            return Former::Silent;
         }
         let request = Request::Gateway(Box::new(Ask::Inherit(ask.program.clone())));
         let answer = async {
@@ -95,11 +116,14 @@
                 _ => None,
             }
         };
-        let answer = timeout(INHERIT_TIMEOUT, answer).await.ok().flatten();
-        if answer.is_none() {
-            self.suspects.suspect(&former.vm, now);
+        match timeout(INHERIT_TIMEOUT, answer).await.ok().flatten() {
+            Some(Some(inheritance)) => Former::Knew(inheritance),
+            Some(None) => Former::KnewNothing,
+            None => {
+                self.suspects.suspect(&former.vm, now);
+                Former::Silent
+            }
         }
-        answer.flatten().map(|inheritance| *inheritance)
     }
 
     /// Gives a program away to the owner that asks for it.
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -95,7 +95,7 @@
                 if read {
                     return Ok(false);
                 }
-                known = self.read(program).await?;
+                known = self.fetch(program).await?;
                 read = true;
                 continue;
             };
@@ -106,13 +106,22 @@
                 self.keep(program, Known { revision, record: Some(record) });
                 return Ok(true);
             }
-            known = self.read(program).await?;
+            known = self.fetch(program).await?;
             read = true;
         }
         Err(Error::Refused("other owners change the record too".to_owned()))
     }
 
-    async fn read(&self, program: &str) -> Result<Known, Error> {
+    /// Reads a program's record.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the service is out of reach.
+    pub async fn read(&self, program: &str) -> Result<Option<Record>, Error> {
+        self.fetch(program).await.map(|known| known.record)
+    }
+
+    async fn fetch(&self, program: &str) -> Result<Known, Error> {
         let known = match self.bounded(self.kv.get(&members::record_key(program))).await? {
             Some(entry) => Known {
                 revision: entry.revision,
