Do not take a program that was given away for a new one

Cause: an owner whose key the platform revoked gives its programs to the next one; a daemon with an older view that still asks it met the program as a new one, without any charge, because the owner's own view was undisturbed. Change: an owner remembers what it gave away and asks for it back. Test: an_owner_inherits_what_the_former_one_knew asserts it, and fails without the change.

--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -34,7 +34,8 @@
     /// Decides as the owner; `None` when the durable record cannot be reached.
     pub async fn decide(self: &Arc<Self>, ask: &spend::Ask, first: bool) -> Option<bool> {
         let undisturbed = self.view.undisturbed(ask.retention, Instant::now());
-        let fresh = first && self.settings.first_start && undisturbed;
+        let given = self.ledger().gave(&ask.program);
+        let fresh = first && self.settings.first_start && undisturbed && !given;
         if !fresh && !self.ledger().knows(&ask.program) {
             self.take_over(ask).await?;
         }
@@ -128,7 +129,7 @@
 
     /// Gives a program away to the owner that asks for it.
     pub fn give(&self, program: &str) -> Option<spend::Inheritance> {
-        self.ledger().give(program)
+        self.ledger().give(program, Instant::now())
     }
 
     /// Records that a program's budget is spent, so that no later owner lets it go on.
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -28,6 +28,8 @@
 const FREE_SHARE: f64 = 0.5;
 /// Turns whose most is spent without a durable record, however small the budget.
 const FREE_TURNS: f64 = 1.5;
+/// Time for which a program that was given away is remembered.
+const GIVEN_LIFE: Duration = Duration::from_secs(120);
 /// Share of a budget that one draw from the record takes at least.
 const DRAW_SHARE: f64 = 0.2;
 /// Time after which a reservation that was never settled is charged in full; its daemon is gone.
@@ -213,6 +215,8 @@
 pub struct Ledger {
     accounts: IndexMap<ProgramId, Account>,
     records: IndexMap<ProgramId, Record>,
+    /// Programs that were given to another owner, which may come back but are not new.
+    given: IndexMap<ProgramId, Instant>,
 }
 
 impl Ledger {
@@ -284,9 +288,15 @@
         self.accounts.contains_key(program)
     }
 
+    /// Tells whether a program was given to another owner.
+    pub fn gave(&self, program: &str) -> bool {
+        self.given.contains_key(program)
+    }
+
     /// Gives a program away to the owner that asks for it.
-    pub fn give(&mut self, program: &str) -> Option<Inheritance> {
+    pub fn give(&mut self, program: &str, now: Instant) -> Option<Inheritance> {
         let account = self.accounts.swap_remove(program)?;
+        self.given.insert(program.into(), now);
         let reserved = account.reservations.into_iter().map(|(id, held)| (id, held.most));
         Some(Inheritance {
             budget: account.budget,
@@ -366,6 +376,7 @@
     /// Drops programs that have been quiet for longer than their retention.
     pub fn sweep(&mut self, now: Instant) {
         self.accounts.retain(|_, account| now.duration_since(account.used) <= account.retention);
+        self.given.retain(|_, since| now.duration_since(*since) <= GIVEN_LIFE);
     }
 
     /// Number of programs.
--- a/crates/sched/tests/spend.rs
+++ b/crates/sched/tests/spend.rs
@@ -143,12 +143,13 @@
             let granted = former.reserve(&ask(&format!("r{turn}"), "a", 0), true, now);
             assert!(matches!(granted, Verdict::Granted { .. }), "{granted:?}");
         }
-        let inheritance = former.give("p").expect("the former owner knows the program");
+        let inheritance = former.give("p", now).expect("the former owner knows the program");
         let mut next = Ledger::default();
         next.inherit("p".into(), inheritance, now);
         let standing = next.explain("p").expect("the next owner knows the program");
         assert_eq!((standing.reserved, standing.assumed), (700, 0));
-        assert!(!former.knows("p"));
+        // A daemon that still asks the former owner does not meet it as a new program.
+        assert!(!former.knows("p") && former.gave("p"));
         next.settle("p", "r0", "a", 30);
         assert_eq!(next.explain("p").expect("it is known").known, 30);
     }
