--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,7 +17,7 @@
 use sched::id::EndpointId;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -195,6 +195,3 @@
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
-
-/// Connections shared by all requests.
-pub type Shared = Arc<Pool>;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,7 +4,6 @@
 //! copy holds. A configuration is only ever replaced by one of a higher version, whichever way it
 //! came.
 
-use compact_str::CompactString;
 use indexmap::{IndexMap, IndexSet};
 use peer::gateway::{Change, Changes, Member, View as Exported};
 use sched::fleet::{Fleet, Registration};
@@ -98,11 +97,6 @@
         self.lock().table.clone()
     }
 
-    /// Live daemons.
-    pub fn members(&self) -> IndexMap<VmId, Member> {
-        self.lock().members.clone()
-    }
-
     /// Live daemons and those that left within `span`.
     pub fn members_since(&self, span: Duration, now: Instant) -> IndexMap<VmId, Member> {
         let mut state = self.lock();
@@ -278,6 +272,3 @@
         }
     }
 }
-
-/// Address of a peer.
-pub type PeerAddr = CompactString;
