Draw once for one need, and ask those who may have owned a program

A draw whose answer was late was made again through another daemon, and owners that took over asked a daemon that had ended long ago instead of the one that had stood in. Change: a draw has its owner's number, which the record keeps, so a repeated one takes effect once; the former owners that are asked are those that left within the time of a stop, the last one first, and the next live one. The free share is half of all that may be handed out (budget and one turn's most), so short programs need no draw either.

--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -9,6 +9,7 @@
 use crate::members;
 use peer::gateway::{Answer, Ask, Drawn, Member, Settlement};
 use peer::wire::{self, Request};
+use sched::id::VmId;
 use sched::spend::{self, Draw, Verdict};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -19,6 +20,12 @@
 const STOP_RETRY: Duration = Duration::from_millis(700);
 /// Bound of asking the former owner of a program.
 const INHERIT_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time after which a daemon that left has ended.
+const EXIT_WITHIN: Duration = Duration::from_secs(10);
+/// Members that are asked for a program that is not known.
+const MAX_FORMERS: usize = 2;
+/// Draws for one turn; the first may be an earlier one whose answer was lost.
+const MAX_DRAWS: u32 = 4;
 /// Bound of a draw through another daemon.
 const DRAW_TIMEOUT: Duration = Duration::from_millis(650);
 
@@ -51,8 +58,8 @@
     /// Tells whether no daemon but this process can have owned the ask's program before.
     fn owned_from_the_start(&self, ask: &spend::Ask) -> bool {
         let (me, now) = (&self.settings.vm, Instant::now());
-        let span = ask.retention;
-        self.is_founder() && !self.view.lost_before(&ask.program, me, span, now)
+        let lost = || self.view.lost_before(&ask.program, me, ask.retention, now);
+        self.is_founder() && lost().is_empty()
     }
 
     /// Learns what the former owner knows of a program that this owner does not know.
@@ -67,11 +74,26 @@
         }
     }
 
-    /// Asks the member that owned a program, or stood in, for what it knows.
+    /// Asks the members that may have owned a program for what they know.
     async fn ask_former(&self, ask: &spend::Ask) -> Option<Box<spend::Inheritance>> {
+        let me = &self.settings.vm;
+        let lost = self.view.lost_before(&ask.program, me, EXIT_WITHIN, Instant::now());
+        let next =
+            self.view.with_members(|live| members::successor(&ask.program, live, me).cloned());
+        for former in lost.into_iter().chain(next).take(MAX_FORMERS) {
+            if let Some(inheritance) = self.inherit_from(&former, ask).await {
+                return Some(inheritance);
+            }
+        }
+        None
+    }
+
+    async fn inherit_from(
+        &self,
+        former: &Member,
+        ask: &spend::Ask,
+    ) -> Option<Box<spend::Inheritance>> {
         let now = Instant::now();
-        let all = self.view.members_since(ask.retention, now);
-        let former = members::successor(&ask.program, &all, &self.settings.vm)?;
         if self.suspects.contains(&former.vm, now) {
             return None;
         }
@@ -113,7 +135,7 @@
         let record = spend::closed(ask, unix_ms());
         let since = Instant::now();
         while since.elapsed() < ask.retention {
-            match self.records.update(&ask.program, |_| Some(record)).await {
+            match self.records.update(&ask.program, |_| Some(record.clone())).await {
                 Ok(_) => return,
                 Err(error) => log::info!(
                     target: "budget", program = ask.program.as_str();
@@ -124,31 +146,34 @@
         }
     }
 
-    /// Draws what a turn needs, unless another turn has drawn enough meanwhile.
+    /// Draws until the turn may run or must not; `None` when the record cannot be reached.
     async fn draw_and_reserve(&self, ask: &spend::Ask, first: bool) -> Option<Verdict> {
         let stripe = members::stripe(&ask.program, self.draws.len());
         let _held = self.draws[stripe].lock().await;
-        let verdict = self.ledger().reserve(ask, first, Instant::now());
-        let Verdict::Draw(draw) = verdict else {
-            return Some(verdict);
-        };
-        let drawn = match self.draw(ask, draw).await {
-            Drawn::Unreachable => self.draw_elsewhere(ask, draw).await,
-            drawn => drawn,
-        };
-        match drawn {
-            Drawn::Tokens(tokens) => self.ledger().draw(&ask.program, tokens),
-            Drawn::Exhausted => self.ledger().exhaust(&ask.program),
-            Drawn::Unreachable => return None,
+        for _ in 0..MAX_DRAWS {
+            // Another turn may have drawn enough meanwhile.
+            let verdict = self.ledger().reserve(ask, first, Instant::now());
+            let Verdict::Draw(draw) = verdict else {
+                return Some(verdict);
+            };
+            let drawn = match self.draw(ask, self.process(), draw).await {
+                Drawn::Unreachable => self.draw_elsewhere(ask, draw).await,
+                drawn => drawn,
+            };
+            match drawn {
+                Drawn::Tokens(tokens) => self.ledger().draw(&ask.program, tokens),
+                Drawn::Exhausted => self.ledger().exhaust(&ask.program),
+                Drawn::Unreachable => return None,
+            }
         }
-        Some(self.ledger().reserve(ask, first, Instant::now()))
+        None
     }
 
-    /// Draws from the program's durable record.
-    pub async fn draw(&self, ask: &spend::Ask, draw: Draw) -> Drawn {
+    /// Draws from the program's durable record for the process `owner`.
+    pub async fn draw(&self, ask: &spend::Ask, owner: &VmId, draw: Draw) -> Drawn {
         let taken = AtomicU64::new(0);
         let drawn = self.records.update(&ask.program, |found| {
-            let (record, tokens) = spend::drawn(ask, found, draw, unix_ms())?;
+            let (record, tokens) = spend::drawn(ask, owner, found, draw, unix_ms())?;
             taken.store(tokens, Ordering::Relaxed);
             Some(record)
         });
@@ -174,7 +199,8 @@
         let Some(other) = fastrand::choice(others) else {
             return Drawn::Unreachable;
         };
-        let request = Request::Gateway(Box::new(Ask::Draw { ask: ask.clone(), draw }));
+        let (ask, owner) = (ask.clone(), self.process().clone());
+        let request = Request::Gateway(Box::new(Ask::Draw { ask, owner, draw }));
         let answer = async {
             let mut replies = self.peers.call(&other.addr, &request).await.ok()?;
             match replies.next().await.ok()?? {
@@ -182,7 +208,7 @@
                 _ => None,
             }
         };
-        // A draw whose answer is lost stays unused.
+        // A draw whose answer is lost is found by the next try.
         timeout(DRAW_TIMEOUT, answer).await.ok().flatten().unwrap_or(Drawn::Unreachable)
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -67,10 +67,10 @@
                 let _ = outbox.send(Reply::Gateway(Answer::Inherited(inheritance))).await;
             });
         }
-        Ask::Draw { ask, draw } => {
+        Ask::Draw { ask, owner, draw } => {
             let desk = desk.clone();
             tokio::spawn(async move {
-                let drawn = desk.draw(&ask, draw).await;
+                let drawn = desk.draw(&ask, &owner, draw).await;
                 // What was drawn for an asker that has gone stays unused.
                 let _ = outbox.send(Reply::Gateway(Answer::Drawn(drawn))).await;
             });
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -24,7 +24,7 @@
 /// Records whose revisions are kept; the oldest are dropped first.
 const MAX_KNOWN: usize = 10_000;
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Known {
     revision: Revision,
     record: Option<Record>,
@@ -83,10 +83,10 @@
         change: impl Fn(Option<Record>) -> Option<Record>,
     ) -> Result<bool, Error> {
         let key = members::record_key(program);
-        let mut known = self.known().get(program).copied().unwrap_or_default();
+        let mut known = self.known().get(program).cloned().unwrap_or_default();
         let mut read = false;
         for _ in 0..MAX_TRIES {
-            let Some(record) = change(known.record) else {
+            let Some(record) = change(known.record.clone()) else {
                 if read {
                     return Ok(false);
                 }
@@ -94,6 +94,9 @@
                 read = true;
                 continue;
             };
+            if known.record.as_ref() == Some(&record) {
+                return Ok(true);
+            }
             let value =
                 serde_json::to_vec(&record).map_err(|error| Error::Malformed(error.to_string()))?;
             let swap = self.bounded(self.kv.swap(&key, &value, known.revision, None)).await?;
@@ -115,7 +118,7 @@
             },
             None => Known::default(),
         };
-        self.keep(program, known);
+        self.keep(program, known.clone());
         Ok(known)
     }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -15,6 +15,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// Time for which members that left are remembered, longer than any program is retained.
+const REMEMBERED: Duration = Duration::from_secs(600);
 /// Changes that are kept for followers; one that falls further behind gets the whole view.
 const MAX_KEPT: usize = 512;
 
@@ -96,28 +98,33 @@
         self.lock().table.clone()
     }
 
-    /// Live daemons and those that left within `span`.
-    pub fn members_since(&self, span: Duration, now: Instant) -> IndexMap<VmId, Member> {
-        let mut state = self.lock();
-        state.left.retain(|_, (_, at)| now.duration_since(*at) <= span);
-        let left = state.left.iter().map(|(vm, (member, _))| (vm.clone(), member.clone()));
-        let mut all: IndexMap<VmId, Member> = left.collect();
-        all.extend(state.members.iter().map(|(vm, member)| (vm.clone(), member.clone())));
-        all
-    }
-
     /// Runs a decision on the live daemons.
     pub fn with_members<R>(&self, decide: impl FnOnce(&IndexMap<VmId, Member>) -> R) -> R {
         decide(&self.lock().members)
     }
 
-    /// Tells whether a daemon left within `span` that came before `me` in a program's order of owners.
-    pub fn lost_before(&self, program: &str, me: &str, span: Duration, now: Instant) -> bool {
+    /// Daemons that left within `span` and came before `me` in a program's order of owners; the one
+    /// that left last is first.
+    pub fn lost_before(
+        &self,
+        program: &str,
+        me: &str,
+        span: Duration,
+        now: Instant,
+    ) -> Vec<Member> {
         let own = weight(&program, me);
-        self.lock()
+        let state = self.lock();
+        let mut lost: Vec<&(Member, Instant)> = state
             .left
             .iter()
-            .any(|(vm, (_, at))| now.duration_since(*at) <= span && weight(&program, vm) > own)
+            .filter(|(vm, (_, at))| {
+                let gone = !state.members.contains_key(*vm);
+                gone && now.duration_since(*at) <= span && weight(&program, vm) > own
+            })
+            .map(|(_, left)| left)
+            .collect();
+        lost.sort_by_key(|(_, at)| std::cmp::Reverse(*at));
+        lost.into_iter().map(|(member, _)| member.clone()).collect()
     }
 
     /// Revision up to which the copy holds.
@@ -182,6 +189,7 @@
                 state.fleet.register(registration);
             }
             state.fleet.retain(&present, now);
+            state.left.retain(|_, (_, at)| now.duration_since(*at) <= REMEMBERED);
             let members: IndexMap<VmId, Member> =
                 members.into_iter().map(|member| (member.vm.clone(), member)).collect();
             let before = std::mem::replace(&mut state.members, members);
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -86,6 +86,8 @@
     Draw {
         /// The turn that needs the draw.
         ask: spend::Ask,
+        /// Process of the owner.
+        owner: VmId,
         /// What is drawn.
         draw: spend::Draw,
     },
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -27,19 +27,20 @@
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
-/// Share of a budget that a first owner spends without a durable record.
+/// Part of all that may be handed out to a program which its first owner lets run without a durable
+/// record.
 ///
-/// Programs that end by themselves rarely spend as much, so few of them ever draw.
+/// Programs that end by themselves rarely need more, wherever the first owner is or is not lost.
 const FREE_SHARE: f64 = 0.5;
 /// Time for which a program that was given away is remembered.
 const GIVEN_LIFE: Duration = Duration::from_secs(120);
 /// Share of a budget that one draw from the record takes at least.
-const DRAW_SHARE: f64 = 0.2;
+const DRAW_SHARE: f64 = 0.3;
 /// Time after which a reservation that was never settled is charged in full; its daemon is gone.
 const RESERVATION_LIFE: Duration = Duration::from_secs(15);
 
 /// The durable part of a program's budget.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The program's budget.
     pub budget: Tokens,
@@ -47,6 +48,20 @@
     pub drawn: Tokens,
     /// Time after which the record may be deleted, in milliseconds since the Unix epoch.
     pub keep_until_ms: u64,
+    /// The last draw, by which its owner finds that it took effect although its answer was lost.
+    #[serde(default)]
+    pub last: Option<Done>,
+}
+
+/// A draw that took effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Done {
+    /// Process of the owner.
+    pub owner: VmId,
+    /// The owner's number of the draw.
+    pub number: u32,
+    /// Tokens drawn.
+    pub tokens: Tokens,
 }
 
 /// A turn that asks to be run.
@@ -88,6 +103,8 @@
     pub needed: Tokens,
     /// Tokens that spare the next turns a draw.
     pub wanted: Tokens,
+    /// The owner's number of this draw; it stays the same until the outcome is known.
+    pub number: u32,
 }
 
 /// What an owner knows of a program.
@@ -131,6 +148,8 @@
     reservations: IndexMap<RequestId, Reservation>,
     /// Tokens that may be handed out or reserved without a further draw.
     allowed: Tokens,
+    /// Number of the draw whose outcome is not known.
+    drawing: Option<u32>,
     /// Whether a turn was refused, which ends the program.
     stopped: bool,
     used: Instant,
@@ -172,37 +191,55 @@
     (budget as f64 * share) as Tokens
 }
 
-/// Tokens that a program's first owner hands out without a durable record.
-fn free(budget: Tokens) -> Tokens {
-    share(budget, FREE_SHARE)
-}
-
-/// Tokens that all owners together may have let run.
+/// Tokens that all owners together may let run.
 fn limit(ask: &Ask) -> Tokens {
     ask.budget + ask.most
 }
 
-/// Computes the record that follows `found` when more is drawn for the ask's program, and the tokens
-/// drawn.
+/// Tokens that a program's first owner lets run without a durable record.
+fn free(ask: &Ask) -> Tokens {
+    share(limit(ask), FREE_SHARE)
+}
+
+/// Computes the record that follows `found` when `owner` draws more for the ask's program, and the
+/// tokens drawn.
 ///
-/// Returns `None` when the record leaves less than is needed.
+/// A draw that has taken effect already changes nothing. Returns `None` when the record leaves less
+/// than is needed.
 pub fn drawn(
     ask: &Ask,
+    owner: &VmId,
     found: Option<Record>,
     draw: Draw,
     now_ms: u64,
 ) -> Option<(Record, Tokens)> {
-    let before = found.map_or(free(ask.budget), |record| record.drawn);
+    let done = found.as_ref().and_then(|record| record.last.as_ref());
+    if let Some(tokens) = done
+        .filter(|done| done.owner == *owner && done.number == draw.number)
+        .map(|done| done.tokens)
+    {
+        return found.map(|record| (record, tokens));
+    }
+    let before = found.map_or(free(ask), |record| record.drawn);
     let tokens = draw.wanted.min(limit(ask).saturating_sub(before));
-    let keep_until_ms = now_ms + ask.retention.as_millis() as u64;
-    let record = Record { budget: ask.budget, drawn: before + tokens, keep_until_ms };
+    let done = Done { owner: owner.clone(), number: draw.number, tokens };
+    let record = Record {
+        budget: ask.budget,
+        drawn: before + tokens,
+        keep_until_ms: keep_until(ask, now_ms),
+        last: Some(done),
+    };
     (tokens >= draw.needed).then_some((record, tokens))
 }
 
 /// The record that lets no later owner draw for the ask's program.
 pub fn closed(ask: &Ask, now_ms: u64) -> Record {
-    let keep_until_ms = now_ms + ask.retention.as_millis() as u64;
-    Record { budget: ask.budget, drawn: limit(ask), keep_until_ms }
+    let keep_until_ms = keep_until(ask, now_ms);
+    Record { budget: ask.budget, drawn: limit(ask), keep_until_ms, last: None }
+}
+
+fn keep_until(ask: &Ask, now_ms: u64) -> u64 {
+    now_ms + ask.retention.as_millis() as u64
 }
 
 /// Accounts of the programs that this daemon owns.
@@ -211,6 +248,8 @@
     accounts: IndexMap<ProgramId, Account>,
     /// Programs that were given to another owner; they may come back, but not as new ones.
     given: IndexMap<ProgramId, Instant>,
+    /// Draws that were begun.
+    draws: u32,
 }
 
 impl Ledger {
@@ -225,7 +264,8 @@
             handed_out: IndexMap::new(),
             lost: 0,
             reservations: IndexMap::new(),
-            allowed: if first { free(ask.budget) } else { 0 },
+            allowed: if first { free(ask) } else { 0 },
+            drawing: None,
             stopped: false,
             used: now,
             retention: ask.retention,
@@ -243,10 +283,12 @@
         }
         if known > account.allowed {
             let needed = known - account.allowed;
-            return Verdict::Draw(Draw {
-                needed,
-                wanted: needed.max(share(ask.budget, DRAW_SHARE)),
+            let wanted = needed.max(share(ask.budget, DRAW_SHARE));
+            let number = *account.drawing.get_or_insert_with(|| {
+                self.draws += 1;
+                self.draws
             });
+            return Verdict::Draw(Draw { needed, wanted, number });
         }
         let reservation = Reservation { most: ask.most, since: now };
         account.reservations.insert(ask.request.clone(), reservation);
@@ -285,6 +327,7 @@
                 .map(|(id, most)| (id, Reservation { most, since: now }))
                 .collect(),
             allowed: from.allowed,
+            drawing: None,
             stopped: from.stopped,
             used: now,
             retention: from.retention,
@@ -296,6 +339,7 @@
     pub fn draw(&mut self, program: &str, tokens: Tokens) {
         if let Some(account) = self.accounts.get_mut(program) {
             account.allowed += tokens;
+            account.drawing = None;
         }
     }
 
