Close the books within the limits of a transaction and of a stop

A stop also waited for the key-value service before it counted its own time, so a slow service could bring it past the platform's patience.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -331,6 +331,27 @@
     assert_eq!(left, [("young".into(), record(500_000))]);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_founder_that_stops_records_what_its_programs_have_spent() {
+    let endpoint = Endpoint::start("e-1", streaming(5, Duration::from_millis(1))).await;
+    let mut gate = Gate::start(BINARY, "books", 1, &[&endpoint]).await;
+    for program in 0..40 {
+        let id = format!("Program-Id: p-{program}");
+        let answer = gate.ask(0, "/stream/x", &format!("r-{program}"), &[&id, BUDGET, USAGE]).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let records = gateway::records::Records::new(gate.store.clone());
+    assert_eq!(records.list().await.expect("an answer"), []);
+    gate.daemons[0].process.terminate();
+    gate.daemons[0].process.exited().await;
+    let left = records.list().await.expect("an answer");
+    let drawn: Vec<u64> = left.iter().map(|(_, record)| record.drawn).collect();
+    assert_eq!(drawn, [50; 40]);
+    let key = gateway::members::founder_key("gate-0");
+    let founder = gate.store.get(&key).await.expect("an answer").expect("a founder");
+    assert_eq!(founder.value, gateway::members::CLOSED);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_program_goes_on_while_its_owner_is_gone() {
     let endpoint = Endpoint::start("e-1", streaming(2, Duration::from_millis(1))).await;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,7 +23,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout_at};
 
 /// Interval of dropping what is no longer needed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -99,16 +99,16 @@
         log::info!(target: "daemon", vm = settings.vm.as_str(); "started");
         stop_signal().await?;
         log::info!(target: "daemon", vm = settings.vm.as_str(); "stopping");
+        let close = Instant::now() + millis(settings.limits.stop_close_ms);
+        let end = Instant::now() + millis(settings.limits.stop_wait_ms);
         phase.send_replace(Phase::Leaving);
         member.abort();
-        desk.close().await;
-        if let Err(error) = leave(&settings, &kv).await {
-            log::info!(target: "member", "the member key lapses with its lease: {error}");
+        if timeout_at(close.into(), leave(&settings, &kv, &desk)).await.is_err() {
+            log::info!(target: "member", "the key-value service is too slow to leave in time");
         }
-        sleep(millis(settings.limits.stop_close_ms)).await;
+        sleep_until(close.into()).await;
         phase.send_replace(Phase::Closing);
-        let wait = millis(settings.limits.stop_wait_ms - settings.limits.stop_close_ms);
-        let landed = timeout(wait, flights.landed()).await.is_ok();
+        let landed = timeout_at(end.into(), flights.landed()).await.is_ok();
         log::info!(target: "daemon", vm = settings.vm.as_str(), landed; "stopped");
         Ok(())
     })
@@ -171,8 +171,16 @@
     }
 }
 
-/// Deletes the member key, so that no peer asks this daemon any more.
-async fn leave(settings: &Settings, kv: &Client) -> Result<(), Error> {
+/// Records what programs have spent, and deletes the member key, so that no peer asks this daemon any
+/// more.
+async fn leave(settings: &Settings, kv: &Client, desk: &Desk) {
+    desk.close().await;
+    if let Err(error) = delete_member(settings, kv).await {
+        log::info!(target: "member", "the member key lapses with its lease: {error}");
+    }
+}
+
+async fn delete_member(settings: &Settings, kv: &Client) -> Result<(), Error> {
     let key = members::key(&settings.vm);
     match kv.get(&key).await? {
         Some(entry) => kv.delete(&key, entry.revision).await.map(drop),
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -132,9 +132,8 @@
         let Some(founder) = self.bounded(self.kv.get(&key)).await? else {
             return Ok(());
         };
-        for chunk in records.chunks(kv::MAX_TRANSACTION_KEYS) {
-            self.create_all(chunk).await?;
-        }
+        let chunks = records.chunks(kv::MAX_SWAPS);
+        futures::future::try_join_all(chunks.map(|chunk| self.create_all(chunk))).await?;
         match self.bounded(self.kv.swap(&key, members::CLOSED, founder.revision, None)).await? {
             Swap::Done(_) => Ok(()),
             Swap::Conflict => Err(Error::Refused("the founder's key changed".to_owned())),
--- a/crates/testing/src/kv.rs
+++ b/crates/testing/src/kv.rs
@@ -18,6 +18,8 @@
 
 /// Longest value, in bytes.
 const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Most entries of a transaction, its guards included.
+const MAX_TRANSACTION_ENTRIES: usize = 32;
 /// Changes kept for watches.
 const HISTORY: usize = 20_000;
 /// Most items of one page.
@@ -348,6 +350,10 @@
     if puts.iter().any(|(_, value, _)| value.len() > MAX_VALUE_BYTES) {
         return Err(Status::PayloadTooLarge);
     }
+    let entries = puts.len() + list(&body, "expected_rev").len() + list(&body, "remove").len();
+    if entries > MAX_TRANSACTION_ENTRIES {
+        return Err(Status::BadRequest);
+    }
     let revision = {
         let mut store = app.lock();
         if let Some(status) = refusal(&store, &body) {
