Call the key-value service less often when daemons restart together

Change: a draw takes half of what the record leaves, at most what a founder has free, which spares most programs a second one and leaves something to an owner that takes over; the free share is 0.4 of all that may be handed out, still more than 98 of 100 programs need. A daemon that is no delegate waits up to 2.4 s between tries, since delegates tell it sooner. The watch of endpoints and members takes the changes of 150 ms at once.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -23,14 +23,20 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 /// Prefix that covers the registrations and the members, which have their first letter in common.
 const DIRECTORY: &str = "s";
 /// Pause before a failed watch starts again.
 const RETRY: Duration = Duration::from_millis(150);
-/// Longest pause before a failed watch starts again.
+/// Longest pause of a delegate before a failed watch starts again.
 const RETRY_MAX: Duration = Duration::from_millis(800);
+/// Longest pause of another daemon; delegates tell it sooner when the service is back for them.
+const RETRY_MAX_OTHERS: Duration = Duration::from_millis(2_400);
+/// Shortest time between two calls of the watch of endpoints and members.
+///
+/// Changes come in bursts when daemons or endpoints restart together; a call takes all of a burst.
+const WATCH_INTERVAL: Duration = Duration::from_millis(150);
 /// Silence after which a delegate does not count as heard.
 const FEED_SILENCE: Duration = Duration::from_millis(900);
 /// Time that delegates have to be heard when all daemons start together.
@@ -130,7 +136,7 @@
                 }
                 self.sources.set(part, false, &format!("the key-value service is lost: {error}"));
                 sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
-                pause = (pause * 2).min(RETRY_MAX);
+                pause = (pause * 2).min(self.longest_pause());
             }
         }
     }
@@ -146,16 +152,31 @@
         *pause = RETRY;
         let mut after = listing.revision;
         while self.has_to_watch(Instant::now()) {
+            let asked = Instant::now();
             let (events, revision) = self.kv.changes(part.prefix(), after).await?;
             after = revision;
             self.apply(part, events, revision);
+            if part == Part::Directory {
+                sleep_until((asked + WATCH_INTERVAL).into()).await;
+            }
         }
         self.sources.set(part, false, "delegates watch for this daemon");
         Ok(())
     }
 
     fn has_to_watch(&self, now: Instant) -> bool {
-        self.delegates().contains(&self.settings.public_addr()) || !self.sources.fed(now)
+        self.is_delegate() || !self.sources.fed(now)
+    }
+
+    fn is_delegate(&self) -> bool {
+        self.delegates().contains(&self.settings.public_addr())
+    }
+
+    fn longest_pause(&self) -> Duration {
+        match self.is_delegate() {
+            true => RETRY_MAX,
+            false => RETRY_MAX_OTHERS,
+        }
     }
 
     /// Addresses of the daemons that watch for the others.
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -35,11 +35,13 @@
 /// record.
 ///
 /// Programs that end by themselves rarely need more, whether their founder is lost or not.
-const FREE_SHARE: f64 = 0.5;
+const FREE_SHARE: f64 = 0.4;
 /// Time for which a program that was given away is remembered.
 const GIVEN_LIFE: Duration = Duration::from_secs(120);
-/// Share of a budget that one draw from the record takes at least.
-const DRAW_SHARE: f64 = 0.3;
+/// Part of what a record leaves that one draw takes, unless more is needed.
+///
+/// The rest is for an owner that takes over and cannot know what was not spent.
+const DRAW_SHARE: f64 = 0.5;
 /// Time after which a reservation that was never settled is charged in full; its daemon is gone.
 const RESERVATION_LIFE: Duration = Duration::from_secs(15);
 
@@ -105,8 +107,6 @@
 pub struct Draw {
     /// Tokens without which the turn cannot run.
     pub needed: Tokens,
-    /// Tokens that spare the next turns a draw.
-    pub wanted: Tokens,
     /// The owner's number of this draw; it stays the same until the outcome is known.
     pub number: u32,
     /// Tokens that may have been handed out where no record exists.
@@ -244,7 +244,9 @@
         return found.map(|record| (record, tokens));
     }
     let before = found.map_or(draw.unrecorded, |record| record.drawn);
-    let tokens = draw.wanted.min(limit(ask).saturating_sub(before));
+    let left = limit(ask).saturating_sub(before);
+    // As much as a founder has spares most programs a second draw.
+    let tokens = draw.needed.max(share(left, DRAW_SHARE).min(free(ask))).min(left);
     let done = Done { owner: owner.clone(), number: draw.number, tokens };
     let record = Record {
         budget: ask.budget,
@@ -354,13 +356,12 @@
         }
         if known > account.allowed {
             let needed = known - account.allowed;
-            let wanted = needed.max(share(ask.budget, DRAW_SHARE));
             let number = *account.drawing.get_or_insert_with(|| {
                 self.draws += 1;
                 self.draws
             });
             let unrecorded = account.unrecorded;
-            return Verdict::Draw(Draw { needed, wanted, number, unrecorded });
+            return Verdict::Draw(Draw { needed, number, unrecorded });
         }
         let reservation = Reservation { most: ask.most, since: now };
         account.reservations.insert(ask.request.clone(), reservation);
