Count failures of the last seconds as load with the steward

Each of 55 daemons had to find out for itself, and one success lifted an ejection. Ruled out: health checks (priced, and these endpoints pass them); ejection by the steward (it would crowd the rest where many endpoints lose answers at once). Change: a release says whether the endpoint failed the request; the steward, who books for all daemons, adds 0.4 of the slots to an endpoint's load for each failure, halved every 4 s. Tests replay an endpoint that fails every second request (it gets under a quarter of its share and is still tried) and four that fail alike (the load stays shared).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -71,7 +71,7 @@
     /// Counts a request at an endpoint until the guard is dropped.
     fn begin(self: &Arc<Self>, endpoint: &EndpointId, booked: Option<Booked>) -> Visit {
         self.view.fleet(|fleet| fleet.begin(endpoint));
-        Visit { context: self.clone(), endpoint: endpoint.clone(), _booked: booked }
+        Visit { context: self.clone(), endpoint: endpoint.clone(), booked }
     }
 }
 
@@ -79,7 +79,16 @@
 pub struct Visit {
     context: Arc<Context>,
     endpoint: EndpointId,
-    _booked: Option<Booked>,
+    booked: Option<Booked>,
+}
+
+impl Visit {
+    /// Notes that the endpoint failed the request.
+    pub fn fail(mut self) {
+        if let Some(booked) = &mut self.booked {
+            booked.end = steward::End::Failed;
+        }
+    }
 }
 
 impl Drop for Visit {
@@ -335,7 +344,10 @@
                 let bound = millis(self.context.settings.limits.connect_timeout_ms);
                 match self.context.pool.open(&registration, bound.min(self.left(now))).await {
                     Ok(link) => link,
-                    Err(error) => return Err(self.refused(&registration, &error.to_string())),
+                    Err(error) => {
+                        visit.fail();
+                        return Err(self.refused(&registration, &error.to_string()));
+                    }
                 }
             }
         };
@@ -345,19 +357,21 @@
         };
         self.attempt.send();
         let sent = Instant::now();
-        match self.exchange(&mut link, order, &registration).await {
-            Ok(response) => self.check(response, link, registration, visit),
-            Err(upstream::Error::Unsent) if link.reused => {
-                Err(self.attempt.unsent(&registration.id))
-            }
-            Err(error @ upstream::Error::Unsent) => {
-                Err(self.refused(&registration, &error.to_string()))
-            }
-            Err(upstream::Error::Broken(error)) if sent.elapsed() < RESET_WITHIN => {
-                Err(self.reset(&registration, link.reused, &error.to_string()))
-            }
-            Err(error) => Err(self.lost(&registration, &error.to_string()).await),
+        let error = match self.exchange(&mut link, order, &registration).await {
+            Ok(response) => return self.check(response, link, registration, visit),
+            Err(error) => error,
+        };
+        if link.reused && matches!(error, upstream::Error::Unsent) {
+            return Err(self.attempt.unsent(&registration.id));
         }
+        visit.fail();
+        Err(match error {
+            upstream::Error::Unsent => self.refused(&registration, &error.to_string()),
+            upstream::Error::Broken(error) if sent.elapsed() < RESET_WITHIN => {
+                self.reset(&registration, link.reused, &error.to_string())
+            }
+            error => self.lost(&registration, &error.to_string()).await,
+        })
     }
 
     /// Notes that an endpoint reset the connection as soon as the request came.
@@ -429,6 +443,7 @@
         let status = response.status().as_u16();
         let headers = response.headers();
         if !header::answers(headers, &self.arrival.facts.id) {
+            visit.fail();
             self.note(&registration, "the answer belongs to another request");
             return Err(self.attempt.lose(&registration.id, Loss::Alive));
         }
@@ -443,6 +458,7 @@
             return Err(self.attempt.refuse(&registration.id));
         }
         if !header::signed(headers) || header::encoded(headers) {
+            visit.fail();
             self.note(&registration, "the answer is not the endpoint's own");
             return Err(self.attempt.lose(&registration.id, Loss::Alive));
         }
@@ -489,7 +505,10 @@
         let (parts, body) = response.into_parts();
         let due = tokio::time::Instant::from_std(self.due());
         let collected = timeout_at(due, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-        drop(visit);
+        match &collected {
+            Ok(Ok(_)) => drop(visit),
+            Ok(Err(_)) | Err(_) => visit.fail(),
+        }
         match collected {
             Ok(Ok(collected)) => {
                 let keep_alive = header::keep_alive(&parts.headers);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -177,8 +177,10 @@
         let Some(source) = self.source.take() else {
             return Err(Reason::Unknown);
         };
-        let registration = source.registration.clone();
-        drop(source);
+        let Source { body, link, registration, visit, .. } = source;
+        // The former run has to end before another one begins.
+        drop((body, link));
+        visit.fail();
         let only = match self.trip.lost(&registration, why).await {
             Next::Same(endpoint) => Some(endpoint),
             Next::Anywhere => None,
--- a/crates/gateway/src/stewards.rs
+++ b/crates/gateway/src/stewards.rs
@@ -39,11 +39,13 @@
     /// The engine.
     pub registration: Registration,
     load: f64,
+    /// How the request ended.
+    pub end: steward::End,
 }
 
 impl Drop for Booked {
     fn drop(&mut self) {
-        self.stewards.release(&self.steward, &self.request);
+        self.stewards.release(&self.steward, &self.request, self.end);
     }
 }
 
@@ -89,7 +91,8 @@
         let Booking { endpoint, load } = booking?;
         let registration = self.view.fleet(|fleet| fleet.registration(&endpoint))?;
         let request = ask.request.clone();
-        Some(Booked { stewards: self.clone(), steward, request, registration, load })
+        let end = steward::End::Done;
+        Some(Booked { stewards: self.clone(), steward, request, registration, load, end })
     }
 
     async fn ask_peer(&self, steward: &Member, dc: &str, ask: &steward::Ask) -> Option<Booking> {
@@ -119,8 +122,8 @@
     }
 
     /// Releases as the steward.
-    pub fn end(&self, request: &str) {
-        self.board().release(request);
+    pub fn end(&self, request: &str, end: steward::End) {
+        self.board().release(request, end, Instant::now());
     }
 
     /// Ends bookings whose daemons are gone.
@@ -128,10 +131,13 @@
         self.board().sweep(now);
     }
 
-    fn release(&self, steward: &Member, request: &RequestId) {
+    fn release(&self, steward: &Member, request: &RequestId, end: steward::End) {
         match steward.vm == self.settings.vm {
-            true => self.end(request),
-            false => self.desk.tell(steward.addr.clone(), Ask::Release(request.clone())),
+            true => self.end(request, end),
+            false => {
+                let release = Ask::Release { request: request.clone(), end };
+                self.desk.tell(steward.addr.clone(), release);
+            }
         }
     }
 }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -112,7 +112,12 @@
         ask: steward::Ask,
     },
     /// Ends the booking of a request; not answered.
-    Release(RequestId),
+    Release {
+        /// The request.
+        request: RequestId,
+        /// How it ended.
+        end: steward::End,
+    },
     /// Asks for the view, and then for what changes.
     Follow {
         /// Version of the configuration that the asker has.
--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -9,6 +9,11 @@
 //! A program's turns go to the engine that keeps its prompt while that engine has room; reading a
 //! prompt again costs more than one more neighbour in the batch. Other turns go to the engine with
 //! the fewest bookings. Bookings that are never released, because their daemon is gone, lapse.
+//!
+//! An endpoint may fail a part of its requests and look healthy otherwise. Each daemon sees too few of
+//! its requests to tell, so daemons say with each release how the request ended, and failures of the
+//! last seconds count as load. Where all endpoints fail alike, this changes nothing; a request that
+//! runs at most once is then lost with an endpoint that fails seldom rather than often.
 
 use crate::fleet::{Fleet, Registration};
 use crate::id::{EndpointId, ProgramId, RequestId};
@@ -21,6 +26,16 @@
 const HOME_LOAD: f64 = 0.85;
 /// Time after which a booking lapses.
 const BOOKING_LIFE: Duration = Duration::from_secs(6);
+/// Load that one failure adds to its endpoint, as a share of the slots.
+const FAULT_LOAD: f64 = 0.4;
+/// Most failures that count.
+const MAX_FAULTS: f64 = 4.0;
+/// Failures from which an engine is not kept for the programs whose prompts it has.
+const HOMELESS_FAULTS: f64 = 0.5;
+/// Failures that are forgotten.
+const FORGOTTEN_FAULTS: f64 = 0.01;
+/// Time in which the weight of a failure halves.
+const FAULT_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Programs whose engines are remembered; the oldest are forgotten first.
 const MAX_HOMES: usize = 8_192;
 
@@ -46,6 +61,29 @@
     pub load: f64,
 }
 
+/// How a booked request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// As it should, or by its client.
+    Done,
+    /// By a fault of the endpoint.
+    Failed,
+}
+
+/// Failures of an endpoint, weighted by their age at `at`.
+#[derive(Clone, Copy, Debug)]
+struct Faults {
+    weight: f64,
+    at: Instant,
+}
+
+impl Faults {
+    fn weight(&self, now: Instant) -> f64 {
+        let halvings = now.duration_since(self.at).div_duration_f64(FAULT_HALF_LIFE);
+        self.weight * (-halvings).exp2()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Ticket {
     endpoint: EndpointId,
@@ -58,12 +96,13 @@
     booked: IndexMap<EndpointId, u32>,
     tickets: IndexMap<RequestId, Ticket>,
     homes: IndexMap<ProgramId, EndpointId>,
+    faults: IndexMap<EndpointId, Faults>,
 }
 
 impl Board {
     /// Books an engine of the data centre `dc`.
     pub fn book(&mut self, fleet: &Fleet, dc: &str, ask: &Ask, now: Instant) -> Option<Booking> {
-        self.release(&ask.request);
+        self.release(&ask.request, End::Done, now);
         let home = ask.program.as_ref().and_then(|program| self.homes.get(program));
         let shared = ask.program.as_ref().unwrap_or(&ask.request);
         let usable = fleet.usable(&ask.service, now).filter(|candidate| {
@@ -71,7 +110,7 @@
         });
         let best = usable.min_by(|left, right| {
             let order = (left.ejected, left.full).cmp(&(right.ejected, right.full));
-            let cost = |found: &Registration| self.cost(found, home, shared);
+            let cost = |found: &Registration| self.cost(found, home, shared, now);
             order.then_with(|| cost(left.registration).total_cmp(&cost(right.registration)))
         })?;
         let endpoint = best.registration.id.clone();
@@ -86,12 +125,24 @@
     }
 
     /// Ends a booking.
-    pub fn release(&mut self, request: &str) {
+    pub fn release(&mut self, request: &str, end: End, now: Instant) {
         if let Some(ticket) = self.tickets.swap_remove(request) {
             self.unbook(&ticket.endpoint);
+            if end == End::Failed {
+                self.blame(ticket.endpoint, now);
+            }
         }
     }
 
+    fn blame(&mut self, endpoint: EndpointId, now: Instant) {
+        let weight = (self.faults(&endpoint, now) + 1.0).min(MAX_FAULTS);
+        self.faults.insert(endpoint, Faults { weight, at: now });
+    }
+
+    fn faults(&self, endpoint: &str, now: Instant) -> f64 {
+        self.faults.get(endpoint).map_or(0.0, |faults| faults.weight(now))
+    }
+
     /// Ends bookings whose daemons are gone.
     pub fn sweep(&mut self, now: Instant) {
         let lapsed = |ticket: &Ticket| now.duration_since(ticket.since) > BOOKING_LIFE;
@@ -104,6 +155,7 @@
         self.tickets.retain(|_, ticket| !lapsed(ticket));
         gone.iter().for_each(|endpoint| self.unbook(endpoint));
         self.booked.retain(|_, count| *count > 0);
+        self.faults.retain(|_, faults| faults.weight(now) > FORGOTTEN_FAULTS);
     }
 
     /// Number of bookings.
@@ -127,14 +179,21 @@
         f64::from(booked) / f64::from(registration.slots.max(1))
     }
 
-    fn cost(&self, found: &Registration, home: Option<&EndpointId>, program: &str) -> f64 {
+    fn cost(
+        &self,
+        found: &Registration,
+        home: Option<&EndpointId>,
+        program: &str,
+        now: Instant,
+    ) -> f64 {
+        let faults = self.faults(&found.id, now);
         let load = self.load(found);
-        if home == Some(&found.id) && load < HOME_LOAD {
+        if home == Some(&found.id) && load < HOME_LOAD && faults < HOMELESS_FAULTS {
             return -1.0;
         }
         // Engines with equal loads share the programs by hash.
         let spread = members::weight(&program, &found.id) as f64 / u64::MAX as f64;
-        load + spread / f64::from(found.slots.max(1)) / 2.0
+        load + faults * FAULT_LOAD + spread / f64::from(found.slots.max(1)) / 2.0
     }
 
     fn remember(&mut self, program: &str, endpoint: &EndpointId) {
--- a/crates/sched/tests/steward.rs
+++ b/crates/sched/tests/steward.rs
@@ -1,7 +1,7 @@
 //! Bookings of endpoints by their steward.
 
 use sched::fleet::{Fleet, Registration, State};
-use sched::steward::{Ask, Board};
+use sched::steward::{Ask, Board, End};
 use std::time::{Duration, Instant};
 
 const SLOTS: u32 = 4;
@@ -44,7 +44,41 @@
     };
 }
 
+/// Plays six seconds with eight requests under way, of which faulty endpoints fail every second one;
+/// returns how many each endpoint got.
+fn play_faults(board: &mut Board, fleet: &Fleet, faulty: &[&str], start: Instant) -> Vec<usize> {
+    let mut got = vec![0; fleet.len()];
+    let mut under_way = std::collections::VecDeque::new();
+    for number in 0..600 {
+        let now = start + Duration::from_millis(10 * number);
+        let request = format!("f{number}");
+        let booking = board.book(fleet, "here", &ask(&request, None), now).expect("an endpoint");
+        let at = fleet.usable("s", now).position(|found| found.registration.id == booking.endpoint);
+        got[at.expect("an endpoint of the fleet")] += 1;
+        under_way.push_back((request, booking.endpoint));
+        if under_way.len() > 8 {
+            let (request, endpoint) = under_way.pop_front().expect("a request");
+            let failed = faulty.contains(&endpoint.as_str()) && number % 2 == 0;
+            board.release(&request, if failed { End::Failed } else { End::Done }, now);
+        }
+    }
+    got
+}
+
 cases! {
+    an_endpoint_that_fails_a_part_of_its_requests_gets_few(now) {
+        let fleet = fleet(6);
+        let got = play_faults(&mut Board::default(), &fleet, &["e0"], now);
+        assert!(got[0] * 4 < 600 / 6, "{got:?}");
+        assert!(got[0] > 0, "it is never tried again: {got:?}");
+    }
+
+    endpoints_that_fail_alike_share_the_load(now) {
+        let fleet = fleet(4);
+        let got = play_faults(&mut Board::default(), &fleet, &["e0", "e1", "e2", "e3"], now);
+        assert!(got.iter().all(|count| *count > 600 / 4 / 2), "{got:?}");
+    }
+
     a_burst_fills_all_endpoints_before_any_queues(now) {
         let fleet = fleet(9);
         let loads = loads(&mut Board::default(), &fleet, 9 * SLOTS as usize, now);
@@ -72,7 +106,7 @@
     a_program_stays_with_the_engine_that_has_its_prompt(now) {
         let (fleet, mut board) = (fleet(9), Board::default());
         let first = board.book(&fleet, "here", &ask("r0", Some("p")), now).expect("an engine");
-        board.release("r0");
+        board.release("r0", End::Done, now);
         loads(&mut board, &fleet, 18, now);
         let next = board.book(&fleet, "here", &ask("next", Some("p")), now).expect("an engine");
         assert_eq!(first.endpoint, next.endpoint);
@@ -91,8 +125,8 @@
     a_released_booking_leaves_room(now) {
         let (fleet, mut board) = (fleet(1), Board::default());
         board.book(&fleet, "here", &ask("r0", None), now);
-        board.release("r0");
-        board.release("r0");
+        board.release("r0", End::Done, now);
+        board.release("r0", End::Done, now);
         let booking = board.book(&fleet, "here", &ask("r1", None), now).expect("an engine");
         assert!(booking.load.abs() < f64::EPSILON);
     }
