--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -205,6 +205,18 @@
     assert!(endpoint.runs().is_empty());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_over_the_limit_is_refused_and_runs_nowhere() {
+    let (gate, endpoint) = single("head", []).await;
+    let long = "x".repeat(40_000);
+    let head = format!("GET /safe/x HTTP/1.1\r\nHost: app.example\r\nLong: {long}\r\n\r\n");
+    let mut stream = gate.raw(0, head.as_bytes()).await;
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).await.expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 431");
+    assert!(endpoint.runs().is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_is_in_force_and_never_reverts() {
     let (gate, _endpoint) = single("config", []).await;
--- /dev/null
+++ b/crates/sched/benches/gateway.rs
@@ -0,0 +1,120 @@
+//! Cost of the gateway's decisions as the fleet and the programs under way grow.
+#![allow(missing_docs)]
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use sched::fleet::{Fleet, Need, Registration, State};
+use sched::members;
+use sched::spend::{self, Ledger};
+use sched::steward::{self, Board, End};
+use std::time::{Duration, Instant};
+
+/// Endpoints of one service, from a small site to the whole fleet.
+const ENDPOINTS: [usize; 4] = [9, 45, 450, 4_500];
+/// Endpoints of one service in one data centre.
+const GROUP: [usize; 3] = [9, 32, 300];
+/// Programs under way.
+const PROGRAMS: [u64; 3] = [100, 10_000, 410_000];
+/// Daemons.
+const DAEMONS: [usize; 3] = [8, 58, 560];
+
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 0..count {
+        fleet.register(Registration {
+            id: format!("endpoint-{number}").into(),
+            service: "models".into(),
+            addr: ([10, 0, 0, 1], 80).into(),
+            dc: "dc-a".into(),
+            slots: 6,
+            state: State::Ready,
+            incarnation: 1,
+        });
+    }
+    fleet
+}
+
+fn placement(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("fleet_place");
+    for count in ENDPOINTS {
+        let fleet = fleet(count);
+        let mut rng = fastrand::Rng::with_seed(1);
+        let now = Instant::now();
+        let need = Need { dc: "dc-a", affinity: "program", affinity_load: 0.3, avoid: &[] };
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| fleet.place("models", &need, &mut rng, now));
+        });
+    }
+    group.finish();
+}
+
+fn booking(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("steward_book_and_release");
+    for count in GROUP {
+        let fleet = fleet(count);
+        let mut board = Board::default();
+        let now = Instant::now();
+        let ask = steward::Ask {
+            request: "request".into(),
+            program: Some("program".into()),
+            service: "models".into(),
+            avoid: Vec::new(),
+        };
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| {
+                let booking = board.book(&fleet, "dc-a", &ask, now);
+                board.release(&ask.request, End::Done, now);
+                booking
+            });
+        });
+    }
+    group.finish();
+}
+
+fn turn(program: u64) -> spend::Ask {
+    spend::Ask {
+        program: format!("program-{program}").into(),
+        budget: 4_000,
+        request: "request".into(),
+        most: 300,
+        daemon: "daemon".into(),
+        handed_out: 0,
+        retention: Duration::from_secs(60),
+    }
+}
+
+fn reservation(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("spend_reserve_and_settle");
+    for count in PROGRAMS {
+        let mut ledger = Ledger::default();
+        ledger.found();
+        let now = Instant::now();
+        for program in 0..count {
+            ledger.reserve(&turn(program), true, 0, now);
+            ledger.settle(&format!("program-{program}"), "request", "daemon", 0);
+        }
+        let ask = turn(count / 2);
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| {
+                let verdict = ledger.reserve(&ask, true, 0, now);
+                ledger.settle(&ask.program, &ask.request, &ask.daemon, 0);
+                verdict
+            });
+        });
+    }
+    group.finish();
+}
+
+/// The search for the first in a program's order, as for its owner and its founder.
+fn ownership(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("first_by_hash");
+    for count in DAEMONS {
+        let daemons: Vec<String> = (0..count).map(|number| format!("daemon-{number}")).collect();
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| daemons.iter().max_by_key(|vm| members::weight(&"program", vm)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, placement, booking, reservation, ownership);
+criterion_main!(benches);
--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -23,6 +23,8 @@
 const FAN_OUT: u32 = 3;
 /// Tries of a request that was refused as not run.
 const TRIES: u32 = 4;
+/// Pause between two programs of a client.
+const PROGRAM_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after a refusal.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
 
@@ -186,6 +188,8 @@
                 true => self.run_endless(&program, &stop).await,
                 false => self.run_program(&program, &stop).await,
             }
+            // While all daemons are down, programs fail at once.
+            tokio::time::sleep(PROGRAM_PAUSE).await;
         }
         self.calls
     }
