Leave the books of a killed founder open

Cause: found by reading. A process that came back after a kill marked the founder's books closed at its own stop, though it does not know what the first process had let run without a record; owners after it would have started records from nothing. Change: only the founder's first process closes the books; records of inherited free shares are written by any process that stops. The new check failed before (the key said closed) and passes.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -364,6 +364,22 @@
     assert_eq!(founder.value, gateway::members::CLOSED);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_books_of_a_killed_founder_stay_open() {
+    let endpoint = Endpoint::start("e-1", streaming(5, Duration::from_millis(1))).await;
+    let mut gate = Gate::start(BINARY, "killed", 1, &[&endpoint]).await;
+    let answer = gate.ask(0, "/stream/x", "r-1", &["Program-Id: p-1", BUDGET, USAGE]).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    // The process that comes back does not know what was spent, and stops in order later.
+    gate.daemons[0].restart();
+    gate.daemons[0].ready().await;
+    gate.daemons[0].process.terminate();
+    gate.daemons[0].process.exited().await;
+    let key = gateway::members::founder_key("gate-0");
+    let founder = gate.store.get(&key).await.expect("an answer").expect("a founder");
+    assert_eq!(founder.value, gateway::members::OPEN);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_program_goes_on_while_its_owner_is_gone() {
     let endpoint = Endpoint::start("e-1", streaming(2, Duration::from_millis(1))).await;
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -9,8 +9,9 @@
 use crate::members;
 use peer::gateway::{Answer, Ask, Drawn, Founder, Member, Settlement};
 use peer::wire::{self, Request};
+use platform::kv::Error;
 use sched::id::{ProgramId, Tokens, VmId};
-use sched::spend::{self, Draw, Legacy, Verdict};
+use sched::spend::{self, Draw, Legacy, Record, Verdict};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -148,17 +149,34 @@
         Some(())
     }
 
-    /// Closes the books of a daemon that stops, so that nobody has to take its programs' free shares
-    /// for spent.
+    /// Records what programs have spent of their free shares, when this daemon stops.
+    ///
+    /// A founder then closes its books, so that nobody has to take its programs' free shares for spent.
+    /// A later process on a founder's VM does not know what that one had spent, and leaves them open.
     pub async fn close(&self) {
-        let records = self.ledger().close(unix_ms());
+        let (founder, records) = {
+            let mut ledger = self.ledger();
+            (ledger.is_founder(), ledger.close(unix_ms()))
+        };
         let count = records.len();
-        match self.records.close(&self.settings.vm, records).await {
-            Ok(()) => log::info!(target: "budget", count; "the books are closed"),
+        match self.close_books(founder, &records).await {
+            Ok(()) => log::info!(target: "budget", count, founder; "the books are closed"),
             Err(error) => log::info!(target: "budget", count; "the books stay open: {error}"),
         }
     }
 
+    async fn close_books(
+        &self,
+        founder: bool,
+        records: &[(ProgramId, Record)],
+    ) -> Result<(), Error> {
+        self.records.create(records).await?;
+        match founder {
+            true => self.records.close(&self.settings.vm).await,
+            false => Ok(()),
+        }
+    }
+
     /// Records that a program's budget is spent, so that no later owner lets it go on.
     async fn stop(self: &Arc<Self>, ask: &spend::Ask) {
         if let Some(standing) = self.ledger().explain(&ask.program) {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -122,24 +122,31 @@
         }
     }
 
-    /// Writes the records of programs that have none, and then that the founder's books are closed.
+    /// Writes that a founder's books are closed.
     ///
     /// # Errors
     ///
     /// Returns an [`Error`] when that is not known to be written.
-    pub async fn close(&self, vm: &str, records: Vec<(ProgramId, Record)>) -> Result<(), Error> {
+    pub async fn close(&self, vm: &str) -> Result<(), Error> {
         let key = members::founder_key(vm);
-        let Some(founder) = self.bounded(self.kv.get(&key)).await? else {
-            return Ok(());
-        };
-        let chunks = records.chunks(kv::MAX_SWAPS);
-        futures::future::try_join_all(chunks.map(|chunk| self.create_all(chunk))).await?;
-        match self.bounded(self.kv.swap(&key, members::CLOSED, founder.revision, None)).await? {
+        let found = self.bounded(self.kv.get(&key)).await?;
+        let revision = found.map_or(0, |found| found.revision);
+        match self.bounded(self.kv.swap(&key, members::CLOSED, revision, None)).await? {
             Swap::Done(_) => Ok(()),
             Swap::Conflict => Err(Error::Refused("the founder's key changed".to_owned())),
         }
     }
 
+    /// Writes the records of programs that have none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when that is not known to be written.
+    pub async fn create(&self, records: &[(ProgramId, Record)]) -> Result<(), Error> {
+        let chunks = records.chunks(kv::MAX_SWAPS).map(|chunk| self.create_all(chunk));
+        futures::future::try_join_all(chunks).await.map(drop)
+    }
+
     /// Writes records at once, or one by one where some exist already.
     async fn create_all(&self, records: &[(ProgramId, Record)]) -> Result<(), Error> {
         let mut writes = Vec::new();
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -293,6 +293,11 @@
         self.founder = true;
     }
 
+    /// Tells whether this process may spend free shares.
+    pub fn is_founder(&self) -> bool {
+        self.founder
+    }
+
     /// Closes the books: from now on nothing runs without a draw.
     ///
     /// Returns the records of the programs that have spent a part of the free share.
