--- /dev/null
+++ b/crates/gateway/src/forward/visit.rs
@@ -0,0 +1,226 @@
+//! One try of a request: the way to one endpoint, up to the head of its answer.
+//!
+//! Every way in which a try can end without an answer is told apart here, by whether bytes of the
+//! request may have left and by what that says of the endpoint.
+
+use super::{Context, Head, Trip};
+use crate::settings::millis;
+use crate::stewards::Booked;
+use crate::upstream::{self, Link, Order};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use platform::header;
+use sched::attempt::{Loss, Next};
+use sched::fleet::Registration;
+use sched::id::EndpointId;
+use sched::steward;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// Time within which an endpoint that is down resets a connection; no run ends as soon.
+const RESET_WITHIN: Duration = Duration::from_millis(20);
+
+/// A request at an endpoint.
+pub struct Visit {
+    context: Arc<Context>,
+    endpoint: EndpointId,
+    booked: Option<Booked>,
+}
+
+impl Visit {
+    /// Notes that the endpoint failed the request.
+    pub fn fail(mut self) {
+        if let Some(booked) = &mut self.booked {
+            booked.end = steward::End::Failed;
+        }
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.context.view.fleet(|fleet| fleet.end(&self.endpoint));
+    }
+}
+
+impl Context {
+    /// Counts a request at an endpoint until the guard is dropped.
+    fn begin(self: &Arc<Self>, endpoint: &EndpointId, booked: Option<Booked>) -> Visit {
+        self.view.fleet(|fleet| fleet.begin(endpoint));
+        Visit { context: self.clone(), endpoint: endpoint.clone(), booked }
+    }
+}
+
+impl Trip {
+    /// Brings the request to one endpoint and waits for the head of its answer.
+    pub(super) async fn visit(
+        &mut self,
+        registration: Registration,
+        booked: Option<Booked>,
+        resume_after: Option<u64>,
+    ) -> Result<Head, Next> {
+        let visit = self.context.begin(&registration.id, booked);
+        let now = Instant::now();
+        let idle = self.context.pool.take(&registration, now);
+        let mut link = match idle {
+            Some(link) => link,
+            None => {
+                let bound = millis(self.context.settings.limits.connect_timeout_ms);
+                match self.context.pool.open(&registration, bound.min(self.left(now))).await {
+                    Ok(link) => link,
+                    Err(error) => {
+                        visit.fail();
+                        return Err(self.refused(&registration, &error.to_string()));
+                    }
+                }
+            }
+        };
+        let order = match self.order(&registration, resume_after) {
+            Some(order) => order,
+            None => return Err(self.refused(&registration, "the request cannot be built")),
+        };
+        self.attempt.send();
+        let sent = Instant::now();
+        let error = match self.exchange(&mut link, order, &registration).await {
+            Ok(response) => return self.check(response, link, registration, visit),
+            Err(error) => error,
+        };
+        if link.reused && matches!(error, upstream::Error::Unsent) {
+            return Err(self.attempt.unsent(&registration.id));
+        }
+        visit.fail();
+        Err(match error {
+            upstream::Error::Unsent => self.refused(&registration, &error.to_string()),
+            upstream::Error::Broken(error) if sent.elapsed() < RESET_WITHIN => {
+                self.reset(&registration, link.reused, &error.to_string())
+            }
+            error => self.lost(&registration, &error.to_string()).await,
+        })
+    }
+
+    /// Notes that an endpoint reset the connection as soon as the request came.
+    ///
+    /// A kept connection may have been dropped without notice, which says nothing of the endpoint.
+    fn reset(&mut self, registration: &Registration, kept: bool, why: &str) -> Next {
+        self.note(registration, why);
+        if kept {
+            return self.attempt.lose(&registration.id, Loss::Alive);
+        }
+        self.context.view.fleet(|fleet| fleet.fail(&registration.id, Instant::now()));
+        self.attempt.lose(&registration.id, Loss::Reset)
+    }
+
+    fn order(&self, registration: &Registration, resume_after: Option<u64>) -> Option<Order> {
+        let left = self.left(Instant::now());
+        let order = header::Order {
+            endpoint: &registration.id,
+            deadline: left,
+            priority: None,
+            resume_after: resume_after.or(self.arrival.facts.resume_after),
+        };
+        let mut request = Request::builder()
+            .method(self.arrival.method.clone())
+            .uri(self.arrival.uri.path_and_query()?.as_str())
+            .body(Full::new(self.arrival.body.clone()))
+            .ok()?;
+        *request.headers_mut() = header::forward(&self.arrival.headers, &order);
+        Some(request)
+    }
+
+    /// Waits for the head; a silent endpoint is asked for a connection now and then.
+    async fn exchange(
+        &self,
+        link: &mut Link,
+        order: Order,
+        registration: &Registration,
+    ) -> Result<Response<Incoming>, upstream::Error> {
+        let due = tokio::time::Instant::from_std(self.due());
+        let stall = millis(self.context.settings.limits.stall_ms);
+        let mut exchange = std::pin::pin!(link.send(order));
+        loop {
+            let check = due.min(tokio::time::Instant::now() + stall);
+            match timeout_at(check, exchange.as_mut()).await {
+                Ok(response) => return response,
+                Err(_) if check >= due => return Err(upstream::Error::Silent),
+                Err(_) => self.probe(registration).await.map_err(|_| upstream::Error::Silent)?,
+            }
+        }
+    }
+
+    /// Opens a connection to an endpoint that has been silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the endpoint takes no connection.
+    pub async fn probe(&self, registration: &Registration) -> Result<(), upstream::Error> {
+        let bound = millis(self.context.settings.limits.connect_timeout_ms);
+        upstream::connect(registration, bound).await.map(drop).map_err(upstream::Error::from)
+    }
+
+    fn check(
+        &mut self,
+        response: Response<Incoming>,
+        link: Link,
+        registration: Registration,
+        visit: Visit,
+    ) -> Result<Head, Next> {
+        let status = response.status().as_u16();
+        let headers = response.headers();
+        if !header::answers(headers, &self.arrival.facts.id) {
+            visit.fail();
+            self.note(&registration, "the answer belongs to another request");
+            return Err(self.attempt.lose(&registration.id, Loss::Alive));
+        }
+        if header::not_run(status, headers) {
+            let now = Instant::now();
+            let view = &self.context.view;
+            match status {
+                421 => view.fleet(|fleet| fleet.fail(&registration.id, now)),
+                _ => view.fleet(|fleet| fleet.full(&registration.id, now)),
+            }
+            self.note(&registration, "the endpoint did not run the request");
+            return Err(self.attempt.refuse(&registration.id));
+        }
+        if !header::signed(headers) || header::encoded(headers) {
+            visit.fail();
+            self.note(&registration, "the answer is not the endpoint's own");
+            return Err(self.attempt.lose(&registration.id, Loss::Alive));
+        }
+        self.context.view.fleet(|fleet| fleet.succeed(&registration.id));
+        Ok(Head { response, link, registration, visit })
+    }
+
+    fn refused(&mut self, registration: &Registration, why: &str) -> Next {
+        self.note(registration, why);
+        self.context.view.fleet(|fleet| fleet.fail(&registration.id, Instant::now()));
+        self.attempt.refuse(&registration.id)
+    }
+
+    /// Notes that an endpoint broke off and finds out whether it still lives.
+    pub async fn lost(&mut self, registration: &Registration, why: &str) -> Next {
+        self.note(registration, why);
+        if Instant::now() >= self.due() {
+            return self.attempt.lose(&registration.id, Loss::Alive);
+        }
+        let loss = match self.route.kind.idempotent() {
+            true if self.probe(registration).await.is_err() => Loss::Gone,
+            _ => Loss::Alive,
+        };
+        if loss == Loss::Gone {
+            self.context.view.fleet(|fleet| fleet.fail(&registration.id, Instant::now()));
+        }
+        self.attempt.lose(&registration.id, loss)
+    }
+
+    fn note(&self, registration: &Registration, why: &str) {
+        metrics::counter!("tries_failed_total").increment(1);
+        log::info!(
+            target: "try",
+            request = self.arrival.facts.id.as_str(),
+            endpoint = registration.id.as_str(),
+            age_ms = self.arrival.at.elapsed().as_millis() as u64;
+            "{why}"
+        );
+    }
+}
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Pause before recording that a program is stopped is tried again.
 const STOP_RETRY: Duration = Duration::from_millis(700);
@@ -121,18 +121,13 @@
             return Legacy::Nothing;
         }
         let request = Request::Gateway(Box::new(Ask::Inherit(program.clone())));
-        let answer = async {
-            let mut replies = self.peers.call(&former.addr, &request).await.ok()?;
-            match replies.next().await.ok()?? {
-                wire::Reply::Gateway(Answer::Inherited(legacy)) => Some(legacy),
-                _ => None,
+        match self.peers.ask(&former.addr, &request, INHERIT_TIMEOUT).await {
+            Some(wire::Reply::Gateway(Answer::Inherited(legacy))) => legacy,
+            _ => {
+                self.suspects.suspect(&former.vm, now);
+                Legacy::Nothing
             }
-        };
-        let answer = timeout(INHERIT_TIMEOUT, answer).await.ok().flatten();
-        answer.unwrap_or_else(|| {
-            self.suspects.suspect(&former.vm, now);
-            Legacy::Nothing
-        })
+        }
     }
 
     /// Gives a program away to the owner that asks for it.
@@ -261,15 +256,11 @@
         };
         let (ask, owner) = (ask.clone(), self.process().clone());
         let request = Request::Gateway(Box::new(Ask::Draw { ask, owner, draw }));
-        let answer = async {
-            let mut replies = self.peers.call(&other.addr, &request).await.ok()?;
-            match replies.next().await.ok()?? {
-                wire::Reply::Gateway(Answer::Drawn(drawn)) => Some(drawn),
-                _ => None,
-            }
-        };
-        // A draw whose answer is lost is found by the next try.
-        timeout(DRAW_TIMEOUT, answer).await.ok().flatten().unwrap_or(Drawn::Unreachable)
+        match self.peers.ask(&other.addr, &request, DRAW_TIMEOUT).await {
+            Some(wire::Reply::Gateway(Answer::Drawn(drawn))) => drawn,
+            // A draw whose answer is lost is found by the next try.
+            _ => Drawn::Unreachable,
+        }
     }
 
     /// Settles as the owner.
--- a/crates/gateway/src/stewards.rs
+++ b/crates/gateway/src/stewards.rs
@@ -15,7 +15,6 @@
 use sched::steward::{self, Board, Booking};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::time::timeout;
 
 /// Bound of one question to a steward.
 const ASK_TIMEOUT: Duration = Duration::from_millis(60);
@@ -98,16 +97,9 @@
     async fn ask_peer(&self, steward: &Member, dc: &str, ask: &steward::Ask) -> Option<Booking> {
         let ask = Ask::Book { dc: dc.into(), ask: ask.clone() };
         let request = Request::Gateway(Box::new(ask));
-        let answer = async {
-            let mut replies = self.desk.peers().call(&steward.addr, &request).await.ok()?;
-            match replies.next().await.ok()?? {
-                Reply::Gateway(Answer::Booked(booking)) => Some(booking),
-                _ => None,
-            }
-        };
-        match timeout(ASK_TIMEOUT, answer).await.ok().flatten() {
-            Some(booking) => booking,
-            None => {
+        match self.desk.peers().ask(&steward.addr, &request, ASK_TIMEOUT).await {
+            Some(Reply::Gateway(Answer::Booked(booking))) => booking,
+            _ => {
                 self.suspects.suspect(&steward.vm, Instant::now());
                 log::info!(target: "steward", steward = steward.vm.as_str(); "no answer in time");
                 None
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -69,6 +69,15 @@
         result
     }
 
+    /// Sends a request and waits for its first reply; `None` when none comes in time.
+    pub async fn ask(&self, addr: &str, request: &Request, bound: Duration) -> Option<Reply> {
+        let first = async {
+            let mut replies = self.call(addr, request).await.ok()?;
+            replies.next().await.ok()?
+        };
+        tokio::time::timeout(bound, first).await.ok().flatten()
+    }
+
     /// Drops the connection to `addr`, so that the next call opens a new one.
     pub fn forget(&self, addr: &str) {
         self.lock().swap_remove(addr);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -6,8 +6,7 @@
 //! never empties a service, because an ejected endpoint is still chosen when no other is left.
 //!
 //! [`Fleet::place`] looks at every endpoint of one service when the service is small, and else at a
-//! fixed number of candidates: the endpoints that rank first for the request's prompt and a few
-//! random ones. Its cost is therefore bounded whatever the size of the fleet.
+//! few random ones. Its cost is therefore bounded whatever the size of the fleet.
 
 use crate::id::{DcId, EndpointId, ServiceId};
 use crate::members;
