Weigh failures less for turns, which go on elsewhere

Change: a failure adds 0.1 of the slots for a turn and 0.4 for other requests, and an engine is kept for its programs up to two failures.

--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -28,10 +28,13 @@
 const BOOKING_LIFE: Duration = Duration::from_secs(6);
 /// Load that one failure adds to its endpoint, as a share of the slots.
 const FAULT_LOAD: f64 = 0.4;
+/// The same for a program's turn, which goes on elsewhere when it is lost; crowding the other engines
+/// delays more turns than a failure does.
+const TURN_FAULT_LOAD: f64 = 0.1;
 /// Most failures that count.
 const MAX_FAULTS: f64 = 4.0;
 /// Failures from which an engine is not kept for the programs whose prompts it has.
-const HOMELESS_FAULTS: f64 = 0.5;
+const HOMELESS_FAULTS: f64 = 2.0;
 /// Failures that are forgotten.
 const FORGOTTEN_FAULTS: f64 = 0.01;
 /// Time in which the weight of a failure halves.
@@ -110,7 +113,11 @@
         });
         let best = usable.min_by(|left, right| {
             let order = (left.ejected, left.full).cmp(&(right.ejected, right.full));
-            let cost = |found: &Registration| self.cost(found, home, shared, now);
+            let fault_load = if ask.program.is_some() { TURN_FAULT_LOAD } else { FAULT_LOAD };
+            let cost = |found: &Registration| {
+                let faults = self.faults(&found.id, now);
+                self.cost(found, home, shared, faults) + faults * fault_load
+            };
             order.then_with(|| cost(left.registration).total_cmp(&cost(right.registration)))
         })?;
         let endpoint = best.registration.id.clone();
@@ -184,16 +191,15 @@
         found: &Registration,
         home: Option<&EndpointId>,
         program: &str,
-        now: Instant,
+        faults: f64,
     ) -> f64 {
-        let faults = self.faults(&found.id, now);
         let load = self.load(found);
         if home == Some(&found.id) && load < HOME_LOAD && faults < HOMELESS_FAULTS {
             return -1.0;
         }
         // Engines with equal loads share the programs by hash.
         let spread = members::weight(&program, &found.id) as f64 / u64::MAX as f64;
-        load + faults * FAULT_LOAD + spread / f64::from(found.slots.max(1)) / 2.0
+        load + spread / f64::from(found.slots.max(1)) / 2.0
     }
 
     fn remember(&mut self, program: &str, endpoint: &EndpointId) {
--- a/crates/sched/tests/steward.rs
+++ b/crates/sched/tests/steward.rs
@@ -79,6 +79,28 @@
         assert!(got.iter().all(|count| *count > 600 / 4 / 2), "{got:?}");
     }
 
+    turns_are_not_crowded_on_the_engines_that_fail_less(now) {
+        // Half of the engines lose answers while all of them are nearly full.
+        let fleet = fleet(4);
+        let mut board = Board::default();
+        for number in 0..3 {
+            for endpoint in ["e0", "e1"] {
+                let request = format!("{endpoint}-{number}");
+                let avoid = ["e0", "e1", "e2", "e3"].into_iter().filter(|id| *id != endpoint);
+                let ask = Ask { avoid: avoid.map(Into::into).collect(), ..ask(&request, None) };
+                board.book(&fleet, "here", &ask, now).expect("a booking");
+                board.release(&request, End::Failed, now);
+            }
+        }
+        let mut turns = std::collections::BTreeMap::new();
+        for number in 0..14 {
+            let (request, program) = (format!("t{number}"), format!("p{number}"));
+            let booking = board.book(&fleet, "here", &ask(&request, Some(&program)), now);
+            *turns.entry(booking.expect("a booking").endpoint).or_insert(0) += 1;
+        }
+        assert!(turns.values().all(|count| *count <= SLOTS), "{turns:?}");
+    }
+
     a_burst_fills_all_endpoints_before_any_queues(now) {
         let fleet = fleet(9);
         let loads = loads(&mut Board::default(), &fleet, 9 * SLOTS as usize, now);
