Say once what stood several times

* What an owner hands over stood field by field in the account, the inheritance and two copies between them; it is one Holding now.
* The wait for a head and the wait for an event, each with looks whether a silent endpoint still takes connections, are one; so are rocket's settings of three servers, the waits of two harnesses for daemons that know each other, two searches by hash, and the bytes of a record.
* Gone: Choice with its unused count, Desk::vm, the ledger's length, times of configurations that nothing read, a second read of a key for each deletion in the harness.

--- a/crates/catkinshed/src/http/mod.rs
+++ b/crates/catkinshed/src/http/mod.rs
@@ -36,22 +36,11 @@
 
 /// Builds the HTTP server.
 pub fn build(app: App) -> rocket::Rocket<rocket::Build> {
-    let shutdown = rocket::config::Shutdown {
-        ctrlc: false,
-        signals: std::collections::HashSet::new(),
-        grace: 1,
-        mercy: 1,
-        force: true,
-        ..rocket::config::Shutdown::default()
-    };
-    let config = rocket::Config {
-        address: app.settings.http_addr.ip(),
-        port: app.settings.http_addr.port(),
-        log_level: rocket::config::LogLevel::Off,
-        cli_colors: false,
-        shutdown,
-        ..rocket::Config::release_default()
-    };
+    let mut config = gateway::probes::server(app.settings.http_addr);
+    // Streams to callers get a moment to end.
+    config.shutdown.grace = 1;
+    config.shutdown.mercy = 1;
+    config.shutdown.force = true;
     rocket::custom(config)
         .manage(app)
         .mount("/", caller::routes())
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -103,11 +103,6 @@
         &self.process
     }
 
-    /// Name of this VM.
-    pub fn vm(&self) -> &VmId {
-        &self.settings.vm
-    }
-
     /// Connections to peers.
     pub fn peers(&self) -> &Peers {
         &self.peers
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,7 +2,7 @@
 
 mod visit;
 
-pub use visit::Visit;
+pub use visit::{Quiet, Visit};
 
 use crate::answer::{self, Body, Reason};
 use crate::desk::{Desk, Error as DeskError, Reservation};
@@ -297,10 +297,7 @@
             affinity_load: AFFINITY_LOAD,
             avoid: self.attempt.refused_by(),
         };
-        let choice = self
-            .context
-            .with_rng(|rng| view.fleet(|fleet| fleet.place(&self.service, &need, rng, now)));
-        choice.map(|choice| choice.registration)
+        self.context.with_rng(|rng| view.fleet(|fleet| fleet.place(&self.service, &need, rng, now)))
     }
 
     /// Reads the whole answer before it is passed on, so that one that breaks off can be replaced.
--- a/crates/gateway/src/forward/visit.rs
+++ b/crates/gateway/src/forward/visit.rs
@@ -22,6 +22,15 @@
 /// Time within which an endpoint that is down resets a connection; no run ends as soon.
 const RESET_WITHIN: Duration = Duration::from_millis(20);
 
+/// Why nothing was heard of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Quiet {
+    /// The time is up.
+    Overdue,
+    /// It takes no connection any more.
+    Silent,
+}
+
 /// A request at an endpoint.
 pub struct Visit {
     context: Arc<Context>,
@@ -82,9 +91,10 @@
         };
         self.attempt.send();
         let sent = Instant::now();
-        let error = match self.exchange(&mut link, order, &registration).await {
-            Ok(response) => return self.check(response, link, registration, visit),
-            Err(error) => error,
+        let error = match self.hear(&registration, link.send(order)).await {
+            Ok(Ok(response)) => return self.check(response, link, registration, visit),
+            Ok(Err(error)) => error,
+            Err(Quiet::Overdue | Quiet::Silent) => upstream::Error::Silent,
         };
         if link.reused && matches!(error, upstream::Error::Unsent) {
             return Err(self.attempt.unsent(&registration.id));
@@ -128,32 +138,31 @@
         Some(request)
     }
 
-    /// Waits for the head; a silent endpoint is asked for a connection now and then.
-    async fn exchange(
+    /// Waits for something of an endpoint; one that stays silent is asked for a connection now and then.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it did not come.
+    pub async fn hear<T>(
         &self,
-        link: &mut Link,
-        order: Order,
         registration: &Registration,
-    ) -> Result<Response<Incoming>, upstream::Error> {
+        heard: impl Future<Output = T>,
+    ) -> Result<T, Quiet> {
         let due = tokio::time::Instant::from_std(self.due());
         let stall = millis(self.context.settings.limits.stall_ms);
-        let mut exchange = std::pin::pin!(link.send(order));
+        let mut heard = std::pin::pin!(heard);
         loop {
             let check = due.min(tokio::time::Instant::now() + stall);
-            match timeout_at(check, exchange.as_mut()).await {
-                Ok(response) => return response,
-                Err(_) if check >= due => return Err(upstream::Error::Silent),
-                Err(_) => self.probe(registration).await.map_err(|_| upstream::Error::Silent)?,
+            match timeout_at(check, heard.as_mut()).await {
+                Ok(heard) => return Ok(heard),
+                Err(_) if check >= due => return Err(Quiet::Overdue),
+                Err(_) => self.probe(registration).await.map_err(|_| Quiet::Silent)?,
             }
         }
     }
 
     /// Opens a connection to an endpoint that has been silent.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the endpoint takes no connection.
-    pub async fn probe(&self, registration: &Registration) -> Result<(), upstream::Error> {
+    async fn probe(&self, registration: &Registration) -> Result<(), upstream::Error> {
         let bound = millis(self.context.settings.limits.connect_timeout_ms);
         upstream::connect(registration, bound).await.map(drop).map_err(upstream::Error::from)
     }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -61,8 +61,7 @@
     live: &'a IndexMap<VmId, Member>,
     me: &str,
 ) -> Option<&'a Member> {
-    let others = live.values().filter(|member| member.vm != me);
-    others.max_by_key(|member| members::weight(&program, &member.vm))
+    first(program, live.values().filter(|member| member.vm != me))
 }
 
 /// Delegates of a small fleet.
@@ -115,6 +114,10 @@
     suspects: &Suspects,
     now: Instant,
 ) -> Option<&'a Member> {
-    let heard = live.values().filter(|member| !suspects.contains(&member.vm, now));
-    heard.max_by_key(|member| members::weight(&program, &member.vm))
+    first(program, live.values().filter(|member| !suspects.contains(&member.vm, now)))
+}
+
+/// The first of some members in a program's order.
+fn first<'a>(program: &str, among: impl Iterator<Item = &'a Member>) -> Option<&'a Member> {
+    among.max_by_key(|member| members::weight(&program, &member.vm))
 }
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -65,13 +65,17 @@
 
     /// Finds out where the ask's program comes from; takes it over from who knows it.
     async fn origin(&self, ask: &spend::Ask) -> Origin {
+        if self.ledger().knows(&ask.program) {
+            // Its account tells; were it given away meanwhile, nothing is assumed to be recorded.
+            return Origin { own: false, unrecorded: spend::free(ask) };
+        }
         let founder = self.view.founder(&ask.program);
         let own = founder.as_ref().is_some_and(|founder| founder.vm == self.settings.vm);
         // A founder that has closed its books has recorded all that was handed out.
         let open = founder.filter(|founder| !founder.closed);
         let unrecorded = open.as_ref().map_or(0, |_| spend::free(ask));
         let origin = Origin { own, unrecorded };
-        if self.ledger().knows(&ask.program) || self.ledger().founds(&ask.program, own) {
+        if self.ledger().founds(&ask.program, own) {
             return origin;
         }
         let stripe = members::stripe(&ask.program, self.takeovers.len());
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -57,12 +57,8 @@
     RECORDER.get_or_init(install).clone()
 }
 
-/// Serves probes at `addr` until the process ends.
-///
-/// # Errors
-///
-/// Returns an error when the server cannot start.
-pub async fn serve(addr: SocketAddr, probe: Probe) -> anyhow::Result<()> {
+/// Settings of a server at `addr` whose process handles signals and writes the log itself.
+pub fn server(addr: SocketAddr) -> rocket::Config {
     let shutdown = rocket::config::Shutdown {
         ctrlc: false,
         signals: std::collections::HashSet::new(),
@@ -70,15 +66,23 @@
         mercy: 0,
         ..rocket::config::Shutdown::default()
     };
-    let config = rocket::Config {
+    rocket::Config {
         address: addr.ip(),
         port: addr.port(),
-        workers: 1,
         log_level: rocket::config::LogLevel::Off,
         cli_colors: false,
         shutdown,
         ..rocket::Config::release_default()
-    };
+    }
+}
+
+/// Serves probes at `addr` until the process ends.
+///
+/// # Errors
+///
+/// Returns an error when the server cannot start.
+pub async fn serve(addr: SocketAddr, probe: Probe) -> anyhow::Result<()> {
+    let config = rocket::Config { workers: 1, ..server(addr) };
     let ready = Route::new(Method::Get, READY_PATH, Ready(Arc::new(probe)));
     let rocket =
         rocket::custom(config).manage(recorder()).mount("/", [ready]).mount("/", routes![render]);
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -97,8 +97,7 @@
             if known.record.as_ref() == Some(&record) {
                 return Ok(true);
             }
-            let value =
-                serde_json::to_vec(&record).map_err(|error| Error::Malformed(error.to_string()))?;
+            let value = encode(&record)?;
             let swap = self.bounded(self.kv.swap(&key, &value, known.revision, None)).await?;
             if let Swap::Done(revision) = swap {
                 self.keep(program, Known { revision, record: Some(record) });
@@ -151,9 +150,7 @@
     async fn create_all(&self, records: &[(ProgramId, Record)]) -> Result<(), Error> {
         let mut writes = Vec::new();
         for (program, record) in records {
-            let value =
-                serde_json::to_vec(record).map_err(|error| Error::Malformed(error.to_string()))?;
-            writes.push((members::record_key(program), value, 0));
+            writes.push((members::record_key(program), encode(record)?, 0));
         }
         if let Swap::Done(_) = self.bounded(self.kv.swap_all(&writes)).await? {
             return Ok(());
@@ -207,3 +204,7 @@
         Ok(records.collect())
     }
 }
+
+fn encode(record: &Record) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(record).map_err(|error| Error::Malformed(error.to_string()))
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,8 +8,7 @@
 
 use crate::answer::Reason;
 use crate::desk::Reservation;
-use crate::forward::{Head, Trip, Visit, closes};
-use crate::settings::millis;
+use crate::forward::{Head, Quiet, Trip, Visit, closes};
 use crate::upstream::Link;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -21,7 +20,6 @@
 use sched::fleet::Registration;
 use sched::id::Tokens;
 use std::time::{Duration, Instant};
-use tokio::time::timeout_at;
 
 /// The endpoint's side of a stream.
 struct Source {
@@ -195,25 +193,17 @@
     }
 }
 
-/// Waits for the endpoint; one that stays silent is asked for a connection now and then.
 async fn hear(trip: &Trip, source: &mut Source) -> Heard {
-    let due = tokio::time::Instant::from_std(trip.due());
-    let stall = millis(trip.context.settings.limits.stall_ms);
     loop {
-        let check = due.min(tokio::time::Instant::now() + stall);
-        match timeout_at(check, source.body.frame()).await {
+        match trip.hear(&source.registration, source.body.frame()).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(bytes) => return Heard::Bytes(bytes),
                 Err(_) => continue,
             },
             Ok(Some(Err(error))) => return Heard::Broken(error.to_string()),
             Ok(None) => return Heard::End,
-            Err(_) if check >= due => return Heard::Overdue,
-            Err(_) => {
-                if trip.probe(&source.registration).await.is_err() {
-                    return Heard::Broken("the endpoint stays silent".to_owned());
-                }
-            }
+            Err(Quiet::Overdue) => return Heard::Overdue,
+            Err(Quiet::Silent) => return Heard::Broken("the endpoint stays silent".to_owned()),
         }
     }
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -108,15 +108,6 @@
     pub full: bool,
 }
 
-/// A chosen endpoint.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Choice {
-    /// Its registration.
-    pub registration: Registration,
-    /// This daemon's requests under way there before this one.
-    pub in_flight: u32,
-}
-
 /// All endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -244,7 +235,7 @@
         need: &Need<'_>,
         rng: &mut fastrand::Rng,
         now: Instant,
-    ) -> Option<Choice> {
+    ) -> Option<Registration> {
         let ids = self.services.get(service)?;
         let candidates: Vec<&Member> = match ids.len() {
             0..=SCAN_ALL => ids.iter().filter_map(|id| self.members.get(id)).collect(),
@@ -261,7 +252,7 @@
                 (left.ejected(now), left.full(now)).cmp(&(right.ejected(now), right.full(now)));
             order.then_with(|| cost(left, need).total_cmp(&cost(right, need)))
         })?;
-        Some(Choice { registration: best.registration.clone(), in_flight: best.in_flight })
+        Some(best.registration.clone())
     }
 
     /// Counts a request that goes to an endpoint.
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -126,20 +126,32 @@
     pub allowed: Tokens,
 }
 
-/// All that an owner knows of a program, for the owner that takes its place.
+/// What an owner knows of a program and hands over as it is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Inheritance {
+struct Holding {
     budget: Tokens,
+    /// Tokens that may have been handed out where no record exists.
     unrecorded: Tokens,
+    /// Whether a part of the free share is held here that no record covers.
     free: bool,
+    /// Tokens handed out by each daemon's process.
     handed_out: IndexMap<VmId, Tokens>,
+    /// Most tokens of turns whose daemons are gone.
     lost: Tokens,
-    reserved: IndexMap<RequestId, Tokens>,
+    /// Tokens that may be handed out or reserved without a further draw.
     allowed: Tokens,
+    /// Whether a turn was refused, which ends the program.
     stopped: bool,
     retention: Duration,
 }
 
+/// All that an owner knows of a program, for the owner that takes its place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inheritance {
+    holding: Holding,
+    reserved: IndexMap<RequestId, Tokens>,
+}
+
 /// What the member that is asked leaves to a program's next owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Legacy {
@@ -159,30 +171,17 @@
 
 #[derive(Clone, Debug)]
 struct Account {
-    budget: Tokens,
-    /// Tokens that may have been handed out where no record exists.
-    unrecorded: Tokens,
-    /// Whether a part of the free share is held here that no record covers.
-    free: bool,
-    /// Tokens handed out by each daemon's process.
-    handed_out: IndexMap<VmId, Tokens>,
-    /// Most tokens of turns whose daemons are gone.
-    lost: Tokens,
+    holding: Holding,
     reservations: IndexMap<RequestId, Reservation>,
-    /// Tokens that may be handed out or reserved without a further draw.
-    allowed: Tokens,
     /// Number of the draw whose outcome is not known.
     drawing: Option<u32>,
-    /// Whether a turn was refused, which ends the program.
-    stopped: bool,
     used: Instant,
-    retention: Duration,
 }
 
 impl Account {
     /// Tokens that were handed out, or may have been.
     fn known(&self) -> Tokens {
-        self.handed_out.values().sum::<Tokens>() + self.lost
+        self.holding.handed_out.values().sum::<Tokens>() + self.holding.lost
     }
 
     fn reserved(&self) -> Tokens {
@@ -191,13 +190,13 @@
 
     /// Notes what a daemon's process has handed out.
     fn declare(&mut self, daemon: &str, handed_out: Tokens) {
-        if let Some(counted) = self.handed_out.get_mut(daemon) {
+        if let Some(counted) = self.holding.handed_out.get_mut(daemon) {
             *counted = (*counted).max(handed_out);
             return;
         }
         // Another owner let this run, so it is paid for.
-        self.allowed += handed_out;
-        self.handed_out.insert(daemon.into(), handed_out);
+        self.holding.allowed += handed_out;
+        self.holding.handed_out.insert(daemon.into(), handed_out);
     }
 
     /// Charges reservations whose daemon is gone: their turns may have handed out their most.
@@ -205,7 +204,7 @@
         let overdue = |held: &Reservation| now.duration_since(held.since) >= RESERVATION_LIFE;
         let lost: Tokens =
             self.reservations.values().filter(|held| overdue(held)).map(|held| held.most).sum();
-        self.lost += lost;
+        self.holding.lost += lost;
         self.reservations.retain(|_, held| !overdue(held));
     }
 }
@@ -304,14 +303,17 @@
     pub fn close(&mut self, now_ms: u64) -> Vec<(ProgramId, Record)> {
         self.founder = false;
         let mut records = Vec::new();
-        for (program, account) in self.accounts.iter_mut().filter(|(_, account)| account.free) {
+        for (program, account) in
+            self.accounts.iter_mut().filter(|(_, account)| account.holding.free)
+        {
             let spent = account.known() + account.reserved();
-            account.free = false;
-            account.allowed = account.allowed.min(spent);
-            account.unrecorded = spent.min(account.unrecorded);
-            let keep_until_ms = now_ms + account.retention.as_millis() as u64;
-            let drawn = account.unrecorded;
-            let record = Record { budget: account.budget, drawn, keep_until_ms, last: None };
+            account.holding.free = false;
+            account.holding.allowed = account.holding.allowed.min(spent);
+            account.holding.unrecorded = spent.min(account.holding.unrecorded);
+            let keep_until_ms = now_ms + account.holding.retention.as_millis() as u64;
+            let drawn = account.holding.unrecorded;
+            let record =
+                Record { budget: account.holding.budget, drawn, keep_until_ms, last: None };
             records.push((program.clone(), record));
         }
         for (program, given) in &mut self.given {
@@ -336,36 +338,38 @@
     ) -> Verdict {
         let first = self.founds(&ask.program, founder);
         let account = self.accounts.entry(ask.program.clone()).or_insert_with(|| Account {
-            budget: ask.budget,
-            unrecorded: if first { free(ask) } else { unrecorded },
-            free: first,
-            handed_out: IndexMap::new(),
-            lost: 0,
+            holding: Holding {
+                budget: ask.budget,
+                unrecorded: if first { free(ask) } else { unrecorded },
+                free: first,
+                handed_out: IndexMap::new(),
+                lost: 0,
+                allowed: if first { free(ask) } else { 0 },
+                stopped: false,
+                retention: ask.retention,
+            },
             reservations: IndexMap::new(),
-            allowed: if first { free(ask) } else { 0 },
             drawing: None,
-            stopped: false,
             used: now,
-            retention: ask.retention,
         });
         account.used = now;
         account.charge_overdue(now);
         account.declare(&ask.daemon, ask.handed_out);
-        if account.stopped {
+        if account.holding.stopped {
             return Verdict::Exhausted;
         }
         let known = account.known() + account.reserved() + ask.most;
-        if known > account.budget {
-            account.stopped = true;
+        if known > account.holding.budget {
+            account.holding.stopped = true;
             return Verdict::Stop;
         }
-        if known > account.allowed {
-            let needed = known - account.allowed;
+        if known > account.holding.allowed {
+            let needed = known - account.holding.allowed;
             let number = *account.drawing.get_or_insert_with(|| {
                 self.draws += 1;
                 self.draws
             });
-            let unrecorded = account.unrecorded;
+            let unrecorded = account.holding.unrecorded;
             return Verdict::Draw(Draw { needed, number, unrecorded });
         }
         let reservation = Reservation { most: ask.most, since: now };
@@ -400,46 +404,29 @@
             return Legacy::Nothing;
         };
         // The time is counted from the closing of the books.
-        let record = account.free.then(|| Record {
-            budget: account.budget,
-            drawn: account.unrecorded,
-            keep_until_ms: account.retention.as_millis() as u64,
+        let record = account.holding.free.then(|| Record {
+            budget: account.holding.budget,
+            drawn: account.holding.unrecorded,
+            keep_until_ms: account.holding.retention.as_millis() as u64,
             last: None,
         });
-        let until = now + account.retention.max(GIVEN_LIFE);
+        let until = now + account.holding.retention.max(GIVEN_LIFE);
         let before = self.given.swap_remove(program).and_then(|given| given.record);
         self.given.insert(program.into(), Given { until, record: record.or(before) });
         let reserved = account.reservations.into_iter().map(|(id, held)| (id, held.most));
-        Legacy::Account(Box::new(Inheritance {
-            budget: account.budget,
-            unrecorded: account.unrecorded,
-            free: account.free,
-            handed_out: account.handed_out,
-            lost: account.lost,
-            reserved: reserved.collect(),
-            allowed: account.allowed,
-            stopped: account.stopped,
-            retention: account.retention,
-        }))
+        let inheritance = Inheritance { holding: account.holding, reserved: reserved.collect() };
+        Legacy::Account(Box::new(inheritance))
     }
 
     /// Takes a program over from the owner that knew it.
     pub fn inherit(&mut self, program: ProgramId, from: Inheritance, now: Instant) {
-        let reservations = from.reserved.into_iter();
+        let reserved = from.reserved.into_iter();
+        let reservations = reserved.map(|(id, most)| (id, Reservation { most, since: now }));
         let account = Account {
-            budget: from.budget,
-            unrecorded: from.unrecorded,
-            free: from.free,
-            handed_out: from.handed_out,
-            lost: from.lost,
-            reservations: reservations
-                .map(|(id, most)| (id, Reservation { most, since: now }))
-                .collect(),
-            allowed: from.allowed,
+            holding: from.holding,
+            reservations: reservations.collect(),
             drawing: None,
-            stopped: from.stopped,
             used: now,
-            retention: from.retention,
         };
         self.accounts.insert(program, account);
     }
@@ -447,8 +434,8 @@
     /// Notes a draw of `tokens` that is durable.
     pub fn draw(&mut self, program: &str, tokens: Tokens) {
         if let Some(account) = self.accounts.get_mut(program) {
-            account.allowed += tokens;
-            account.free = false;
+            account.holding.allowed += tokens;
+            account.holding.free = false;
             account.drawing = None;
         }
     }
@@ -456,7 +443,7 @@
     /// Notes that the record leaves nothing to draw.
     pub fn exhaust(&mut self, program: &str) {
         if let Some(account) = self.accounts.get_mut(program) {
-            account.stopped = true;
+            account.holding.stopped = true;
         }
     }
 
@@ -464,10 +451,10 @@
     pub fn explain(&self, program: &str) -> Option<Standing> {
         let account = self.accounts.get(program)?;
         Some(Standing {
-            budget: account.budget,
+            budget: account.holding.budget,
             known: account.known(),
             reserved: account.reserved(),
-            allowed: account.allowed,
+            allowed: account.holding.allowed,
         })
     }
 
@@ -481,17 +468,8 @@
 
     /// Drops programs that have been quiet for longer than their retention.
     pub fn sweep(&mut self, now: Instant) {
-        self.accounts.retain(|_, account| now.duration_since(account.used) <= account.retention);
+        self.accounts
+            .retain(|_, account| now.duration_since(account.used) <= account.holding.retention);
         self.given.retain(|_, given| now < given.until);
     }
-
-    /// Number of programs.
-    pub fn len(&self) -> usize {
-        self.accounts.len()
-    }
-
-    /// Tells whether no program is known.
-    pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
-    }
 }
--- a/crates/sched/tests/steward.rs
+++ b/crates/sched/tests/steward.rs
@@ -120,7 +120,7 @@
                 avoid: &[],
             };
             let choice = fleet.place("s", &need, &mut fastrand::Rng::with_seed(1), now);
-            *counts.entry(choice.expect("an endpoint").registration.id).or_insert(0_u32) += 1;
+            *counts.entry(choice.expect("an endpoint").id).or_insert(0_u32) += 1;
         }
         assert!(counts.values().any(|count| *count > SLOTS), "{counts:?}");
     }
--- a/crates/testing/src/gate.rs
+++ b/crates/testing/src/gate.rs
@@ -55,6 +55,24 @@
         line?.parse().ok()
     }
 
+    /// Waits until the daemon is ready and knows this many members.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that does not come in time.
+    pub async fn settled(&self, members: usize, patience: Duration) {
+        let started = Instant::now();
+        loop {
+            let (ready, known) = (self.is_ready().await, self.members().await);
+            if ready && known == Some(members) {
+                return;
+            }
+            let name = &self.settings.vm;
+            assert!(started.elapsed() < patience, "{name}: ready {ready}, members {known:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits until the daemon reports itself ready.
     ///
     /// # Panics
@@ -173,12 +191,7 @@
     /// Panics when that never comes.
     pub async fn settled(&self) {
         for daemon in &self.daemons {
-            daemon.ready().await;
-            let started = Instant::now();
-            while daemon.members().await != Some(self.daemons.len()) {
-                assert!(started.elapsed() < PATIENCE, "{} lacks members", daemon.settings.vm);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
+            daemon.settled(self.daemons.len(), PATIENCE).await;
         }
     }
 
@@ -224,12 +237,14 @@
     pub async fn unregister(&self, endpoint: &Endpoint) {
         let key = format!("servers/{}", endpoint.id);
         let started = Instant::now();
-        while !matches!(self.store.get(&key).await, Ok(None)) {
-            assert!(started.elapsed() < PATIENCE, "{key} is not deleted");
-            if let Ok(Some(found)) = self.store.get(&key).await {
+        loop {
+            match self.store.get(&key).await {
+                Ok(None) => return,
                 // The next look tells whether it is gone.
-                let _ = self.store.delete(&key, found.revision).await;
+                Ok(Some(found)) => drop(self.store.delete(&key, found.revision).await),
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
             }
+            assert!(started.elapsed() < PATIENCE, "{key} is not deleted");
         }
     }
 
--- a/crates/testing/src/net.rs
+++ b/crates/testing/src/net.rs
@@ -47,22 +47,10 @@
 /// Panics when the server cannot start.
 pub async fn launch(build: impl FnOnce(Rocket<Build>) -> Rocket<Build>) -> Server {
     let addr = free_addr();
-    let shutdown = rocket::config::Shutdown {
-        ctrlc: false,
-        signals: std::collections::HashSet::new(),
-        grace: 0,
-        mercy: 0,
-        ..rocket::config::Shutdown::default()
-    };
-    let config = rocket::Config {
-        address: addr.ip(),
-        port: addr.port(),
-        log_level: rocket::config::LogLevel::Off,
-        cli_colors: false,
-        shutdown,
-        ..rocket::Config::release_default()
-    };
-    let rocket = build(rocket::custom(config)).ignite().await.expect("a valid server");
+    let rocket = build(rocket::custom(gateway::probes::server(addr)))
+        .ignite()
+        .await
+        .expect("a valid server");
     let shutdown = rocket.shutdown();
     tokio::spawn(async move {
         let ended = rocket.launch().await;
--- a/crates/testing/src/soak/check.rs
+++ b/crates/testing/src/soak/check.rs
@@ -1,9 +1,10 @@
 //! The promises, checked on what clients and endpoints saw.
 
 use super::callers::{BUDGET, Call, DEADLINE, Kind, MOST};
-use super::stage::{EVENT_TOKENS, EVENTS, Start, Written};
+use super::stage::{EVENT_TOKENS, EVENTS, Start};
 use crate::script::Run;
 use indexmap::IndexMap;
+use sched::id::Version;
 use std::time::{Duration, Instant};
 
 /// Time that an answer may come after the deadline; the rest is the machine's.
@@ -48,8 +49,8 @@
     pub calls: Vec<Call>,
     /// What endpoints ran.
     pub runs: Vec<Run>,
-    /// Versions of the configuration.
-    pub versions: Vec<Written>,
+    /// Newest version of the configuration.
+    pub newest: Version,
     /// Starts of daemons.
     pub starts: Vec<Start>,
     /// Whether only planned work was done.
@@ -136,7 +137,6 @@
         }
     }
     marks.sort_by_key(|(call, _)| call.sent);
-    let newest = evidence.versions.iter().map(|written| written.version).max().unwrap_or(0);
     let mut found = Vec::new();
     for (call, version) in marks {
         let restarted = |since: Instant| {
@@ -145,7 +145,7 @@
         };
         let before = known.get(&call.daemon).copied().filter(|(_, since)| !restarted(*since));
         // A route is there for its own version and the next one.
-        let told_older = call.told.status == 404 && version + 1 >= newest;
+        let told_older = call.told.status == 404 && version + 1 >= evidence.newest;
         if let Some((had, _)) = before
             && told_older
             && version <= had
--- a/crates/testing/src/soak/mod.rs
+++ b/crates/testing/src/soak/mod.rs
@@ -82,7 +82,7 @@
     let evidence = check::Evidence {
         runs: stage.runs(),
         calls,
-        versions: stage.versions(),
+        newest: stage.newest(),
         starts: stage.starts(),
         planned: spec.mix == Mix::Planned,
         settled,
--- a/crates/testing/src/soak/stage.rs
+++ b/crates/testing/src/soak/stage.rs
@@ -6,6 +6,7 @@
 use crate::proxy::{Fault, Proxy};
 use crate::script::{Act, Endpoint, Run};
 use indexmap::IndexSet;
+use sched::id::Version;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -48,15 +49,6 @@
     pub peers: Proxy,
 }
 
-/// A version of the configuration, with the time at which the key-value service had it.
-#[derive(Clone, Copy, Debug)]
-pub struct Written {
-    /// The version.
-    pub version: u64,
-    /// When it was acknowledged.
-    pub at: Instant,
-}
-
 /// Everything of one run.
 pub struct Stage {
     /// The key-value stand-in and the settings folder.
@@ -64,7 +56,8 @@
     /// The daemons.
     pub posts: Vec<Arc<Post>>,
     sites: Mutex<Vec<Site>>,
-    versions: Mutex<Vec<Written>>,
+    /// Newest version of the configuration that the key-value service has.
+    newest: Mutex<Version>,
     starts: Mutex<Vec<Start>>,
     left: Mutex<IndexSet<String>>,
     /// Held while a configuration is written.
@@ -92,7 +85,7 @@
             gate,
             posts: Vec::new(),
             sites: Mutex::default(),
-            versions: Mutex::default(),
+            newest: Mutex::default(),
             starts: Mutex::default(),
             left: Mutex::default(),
             writing: Turns::default(),
@@ -100,7 +93,7 @@
         for number in 0..ENGINES + TOOLS {
             stage.join(number, if number < ENGINES { "s" } else { "t" }).await;
         }
-        stage.configure(1).await;
+        stage.advance().await;
         stage.with_daemons(binary, spec.daemons).await
     }
 
@@ -166,19 +159,14 @@
     /// Writes the next version of the configuration.
     pub async fn advance(&self) {
         let _held = self.writing.lock().await;
-        let version = lock(&self.versions).last().map_or(1, |written| written.version + 1);
-        self.configure(version).await;
-    }
-
-    async fn configure(&self, version: u64) {
+        let version = self.newest() + 1;
         self.gate.configure(&config(version)).await;
-        let written = Written { version, at: Instant::now() };
-        lock(&self.versions).push(written);
+        *lock(&self.newest) = version;
     }
 
-    /// Versions that were written.
-    pub fn versions(&self) -> Vec<Written> {
-        lock(&self.versions).clone()
+    /// Newest version of the configuration that was written.
+    pub fn newest(&self) -> Version {
+        *lock(&self.newest)
     }
 
     /// Starts a daemon again, whose process has ended or is killed now.
@@ -216,15 +204,10 @@
     ///
     /// Panics when that never comes.
     pub async fn settle(&self, patience: Duration) {
-        let started = Instant::now();
+        let until = Instant::now() + patience;
         for post in &self.posts {
-            let daemon = post.daemon.lock().await;
-            while !daemon.is_ready().await || daemon.members().await != Some(self.posts.len()) {
-                let name = &daemon.settings.vm;
-                let members = daemon.members().await;
-                assert!(started.elapsed() < patience, "{name} knows {members:?} members");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
+            let left = until.saturating_duration_since(Instant::now());
+            post.daemon.lock().await.settled(self.posts.len(), left).await;
         }
     }
 }
