Send a safe request once more when its answer is late

Cause: a lost answer leaves its connection silent while the endpoint takes new connections, so the daemon waited until the deadline and answered 504; the client had no time left for its own retry and the program failed.

Ruled out: dead endpoints (each had accepted the probe), resets and early closes (these were repeated already).

Change: a safe request that is unanswered at its target latency is sent once more, within a retry budget of one in twenty requests, so that a burst that makes all of them late adds 5%. Where the route allows one endpoint only, it goes to the same one. Unsafe requests wait as before; streams are resumed, not repeated.

Without the patience the test of the lost answer fails (504 after the route's timeout).

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -90,6 +90,26 @@
     assert!(down.connections() <= 12, "{} connections", down.connections());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_safe_request_whose_answer_is_lost_is_sent_once_more() {
+    let (gate, endpoint) = single("lost", [Act::Silent]).await;
+    let answer = gate.ask(0, "/safe/x", "r-1", &["Deadline-Ms: 4000"]).await;
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(ids(&endpoint), ["r-1", "r-1"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn few_late_requests_are_repeated() {
+    let (gate, endpoint) = single("late", vec![Act::Silent; 40]).await;
+    let asks = (0..20).map(|number| {
+        let gate = &gate;
+        async move { gate.ask(0, "/safe/x", &format!("r-{number}"), &["Deadline-Ms: 2500"]).await }
+    });
+    futures::future::join_all(asks).await;
+    // Twenty requests allow one repeat beside those of the start.
+    assert!(endpoint.runs().len() <= 20 + 3, "{} runs", endpoint.runs().len());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_answer_reaches_nobody() {
     let (gate, endpoint) = single("twice", [Act::Twice]).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
 use platform::header;
 use sched::attempt::{self, Attempt, Next};
 use sched::fleet::{Need, Registration};
+use sched::hedge;
 use sched::id::{EndpointId, Version};
 use sched::request::Facts;
 use sched::route::{Engine, Route, Table};
@@ -51,6 +52,7 @@
     pub desk: Arc<Desk>,
     /// Bookings of engines.
     pub stewards: Arc<Stewards>,
+    repeats: Mutex<hedge::Budget>,
     rng: Mutex<fastrand::Rng>,
 }
 
@@ -59,13 +61,19 @@
     pub fn new(settings: Arc<Settings>, view: Arc<View>, desk: Arc<Desk>) -> Self {
         let rng = Mutex::new(fastrand::Rng::new());
         let stewards = Arc::new(Stewards::new(settings.clone(), view.clone(), desk.clone()));
-        Self { settings, view, pool: Arc::default(), desk, stewards, rng }
+        let pool = Arc::default();
+        Self { settings, view, pool, desk, stewards, repeats: Mutex::default(), rng }
     }
 
     fn with_rng<R>(&self, draw: impl FnOnce(&mut fastrand::Rng) -> R) -> R {
         draw(&mut self.rng.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Accounts for repeats of unanswered requests.
+    fn with_repeats<R>(&self, account: impl FnOnce(&mut hedge::Budget) -> R) -> R {
+        account(&mut self.repeats.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     fn retry_after(&self, expected: Duration) -> Option<Duration> {
         Some(self.with_rng(|rng| attempt::retry_after(expected, rng)))
     }
@@ -97,6 +105,8 @@
     pub route: Route,
     service: CompactString,
     attempt: Attempt,
+    /// Time without an answer after which the request is sent once more, unless it was.
+    patience: Option<Duration>,
     /// Version of the configuration that routed it.
     version: Version,
     until: Instant,
@@ -128,6 +138,7 @@
     let wait = arrival.facts.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
     let trip = Trip {
         attempt: Attempt::new(route.kind, route.max_attempts),
+        patience: hedge::patience(route),
         version: table.version,
         until: arrival.at + wait,
         service: service.clone(),
@@ -160,6 +171,9 @@
     }
 
     async fn run(mut self) -> Response<Body> {
+        if self.patience.is_some() {
+            self.context.with_repeats(hedge::Budget::earn);
+        }
         let reservation = match self.reserve().await {
             Ok(reservation) => reservation,
             Err(response) => return *response,
--- a/crates/gateway/src/forward/visit.rs
+++ b/crates/gateway/src/forward/visit.rs
@@ -13,11 +13,12 @@
 use platform::header;
 use sched::attempt::{Loss, Next};
 use sched::fleet::Registration;
+use sched::hedge;
 use sched::id::EndpointId;
 use sched::steward;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 /// Time within which an endpoint that is down resets a connection; no run ends as soon.
 const RESET_WITHIN: Duration = Duration::from_millis(20);
@@ -29,6 +30,8 @@
     Overdue,
     /// It takes no connection any more.
     Silent,
+    /// It is not waited for any longer, since the request may be sent once more.
+    Late,
 }
 
 /// A request at an endpoint.
@@ -91,9 +94,10 @@
         };
         self.attempt.send();
         let sent = Instant::now();
-        let error = match self.hear(&registration, link.send(order)).await {
+        let error = match self.hear_head(&registration, link.send(order)).await {
             Ok(Ok(response)) => return self.check(response, link, registration, visit),
             Ok(Err(error)) => error,
+            Err(Quiet::Late) => return Err(self.repeat(&registration, visit)),
             Err(Quiet::Overdue | Quiet::Silent) => upstream::Error::Silent,
         };
         if link.reused && matches!(error, upstream::Error::Unsent) {
@@ -109,6 +113,32 @@
         })
     }
 
+    /// Waits for the head of an answer, or until the request may be sent once more.
+    async fn hear_head<T>(
+        &self,
+        registration: &Registration,
+        heard: impl Future<Output = T>,
+    ) -> Result<T, Quiet> {
+        let mut heard = std::pin::pin!(self.hear(registration, heard));
+        let Some(patience) = self.patience else {
+            return heard.await;
+        };
+        match timeout(patience, heard.as_mut()).await {
+            Ok(heard) => heard,
+            Err(_) if self.context.with_repeats(hedge::Budget::spend) => Err(Quiet::Late),
+            Err(_) => heard.await,
+        }
+    }
+
+    /// Gives up a try whose answer is late, to send the request once more.
+    fn repeat(&mut self, registration: &Registration, visit: Visit) -> Next {
+        self.patience = None;
+        visit.fail();
+        metrics::counter!("requests_repeated_total").increment(1);
+        self.note(registration, "the answer is late");
+        self.attempt.lose(&registration.id, Loss::Alive)
+    }
+
     /// Notes that an endpoint reset the connection as soon as the request came.
     ///
     /// A kept connection may have been dropped without notice, which says nothing of the endpoint.
--- /dev/null
+++ b/crates/sched/src/hedge.rs
@@ -0,0 +1,53 @@
+//! When an idempotent request that stays unanswered is sent once more.
+//!
+//! An answer that is lost on its way leaves its connection silent, and the endpoint looks well. The
+//! client's deadline is then the only other sign, and a program whose tool call meets it fails. So a
+//! safe request that is unanswered when its full credit is gone is sent again. A burst makes all
+//! requests late at once, and repeating them would make it worse; the retry budget bounds repeats to
+//! a share of the requests.
+
+use crate::route::{Kind, Route};
+use std::time::Duration;
+
+/// Repeats that each request allows.
+const SHARE: f64 = 0.05;
+/// Most repeats that are saved up.
+const MOST: f64 = 10.0;
+/// Repeats that a daemon may make before its first requests.
+const FIRST: f64 = 2.0;
+
+/// Time without an answer after which a request may be sent once more.
+pub fn patience(route: &Route) -> Option<Duration> {
+    match route.kind {
+        Kind::Safe => Some(route.target_latency),
+        Kind::Unsafe | Kind::Stream { .. } => None,
+    }
+}
+
+/// Retry budget of one daemon.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    repeats: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { repeats: FIRST }
+    }
+}
+
+impl Budget {
+    /// Notes a request that may be repeated.
+    pub fn earn(&mut self) {
+        self.repeats = (self.repeats + SHARE).min(MOST);
+    }
+
+    /// Takes one repeat, if there is one.
+    pub fn spend(&mut self) -> bool {
+        let allowed = self.repeats >= 1.0;
+        if allowed {
+            self.repeats -= 1.0;
+        }
+        allowed
+    }
+}
