Shun endpoints that fail all of their requests

Cause: an engine that takes connections and never answers kept its place as home of the prompts that it had read: its clients leave after two seconds of silence, and a request that its client left counted as done, so the retry went to the same engine. Failures that did count added at most 0.2 turns to its cost.

Change: a request that ends while its endpoint has been silent for 1.5 s counts as failed with the steward; an endpoint with five failures in a row is shunned until their weight has halved, and one more request tells then whether it is well.

Without the shunning load its test fails. Three failures in a row were too few: endpoints that all fail half of their requests were then shunned by chance, which the test of endpoints that fail alike shows.

--- a/crates/gateway/src/forward/visit.rs
+++ b/crates/gateway/src/forward/visit.rs
@@ -23,6 +23,9 @@
 /// Time within which an endpoint that is down resets a connection; no run ends as soon.
 const RESET_WITHIN: Duration = Duration::from_millis(20);
 
+/// Silence of an endpoint that counts as its failure when the request ends in it.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
 /// Why nothing was heard of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Quiet {
@@ -39,9 +42,16 @@
     context: Arc<Context>,
     endpoint: EndpointId,
     booked: Option<Booked>,
+    /// When the endpoint was last heard of, or the request was sent.
+    heard: Instant,
 }
 
 impl Visit {
+    /// Notes that something came from the endpoint.
+    pub fn hear(&mut self) {
+        self.heard = Instant::now();
+    }
+
     /// Notes that the endpoint failed the request.
     pub fn fail(mut self) {
         if let Some(booked) = &mut self.booked {
@@ -52,6 +62,12 @@
 
 impl Drop for Visit {
     fn drop(&mut self) {
+        // Clients leave endpoints that stay silent before the endpoint's failure shows otherwise.
+        if let Some(booked) = &mut self.booked
+            && self.heard.elapsed() >= SILENCE
+        {
+            booked.end = steward::End::Failed;
+        }
         self.context.view.fleet(|fleet| fleet.end(&self.endpoint));
     }
 }
@@ -60,7 +76,8 @@
     /// Counts a request at an endpoint until the guard is dropped.
     fn begin(self: &Arc<Self>, endpoint: &EndpointId, booked: Option<Booked>) -> Visit {
         self.view.fleet(|fleet| fleet.begin(endpoint));
-        Visit { context: self.clone(), endpoint: endpoint.clone(), booked }
+        let heard = Instant::now();
+        Visit { context: self.clone(), endpoint: endpoint.clone(), booked, heard }
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -197,7 +197,10 @@
     loop {
         match trip.hear(&source.registration, source.body.frame()).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => return Heard::Bytes(bytes),
+                Ok(bytes) => {
+                    source.visit.hear();
+                    return Heard::Bytes(bytes);
+                }
                 Err(_) => continue,
             },
             Ok(Some(Err(error))) => return Heard::Broken(error.to_string()),
--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -15,7 +15,9 @@
 //! An endpoint may fail a part of its requests and look healthy otherwise. Each daemon sees too few of
 //! its requests to tell, so daemons say with each release how the request ended, and failures of the
 //! last seconds count as load. Where all endpoints fail alike, this changes nothing; a request that
-//! runs at most once is then lost with an endpoint that fails seldom rather than often.
+//! runs at most once is then lost with an endpoint that fails seldom rather than often. An endpoint
+//! that has failed several requests in a row fails all of them, as far as one can tell; it is shunned
+//! until its failures are some seconds old, and then one more request tells.
 
 use crate::fleet::{Candidate, Fleet, Registration};
 use crate::id::{EndpointId, ProgramId, RequestId, Tokens};
@@ -45,6 +47,12 @@
 const MAX_FAULTS: f64 = 4.0;
 /// Failures from which it does not count that an engine keeps a prompt.
 const UNKEPT_FAULTS: f64 = 2.0;
+/// Failures in a row from which an endpoint is shunned.
+const SHUNNED_STREAK: u32 = 5;
+/// Weight of its failures from which it is shunned.
+const SHUNNED_FAULTS: f64 = 2.0;
+/// Load that keeps requests away from a shunned endpoint unless all others have long queues.
+const SHUNNED_LOAD: f64 = 2.0;
 /// Failures that are forgotten.
 const FORGOTTEN_FAULTS: f64 = 0.01;
 /// Time in which the weight of a failure halves.
@@ -94,6 +102,8 @@
 struct Faults {
     weight: f64,
     at: Instant,
+    /// Failures since the last request that ended as it should.
+    streak: u32,
 }
 
 impl Faults {
@@ -101,6 +111,10 @@
         let halvings = now.duration_since(self.at).div_duration_f64(FAULT_HALF_LIFE);
         self.weight * (-halvings).exp2()
     }
+
+    fn shunned(&self, now: Instant) -> bool {
+        self.streak >= SHUNNED_STREAK && self.weight(now) >= SHUNNED_FAULTS
+    }
 }
 
 /// What one process of an engine keeps.
@@ -164,7 +178,12 @@
         };
         self.unbook(&ticket.endpoint);
         match end {
-            End::Done => self.keep(ticket, now),
+            End::Done => {
+                if let Some(faults) = self.faults.get_mut(&ticket.endpoint) {
+                    faults.streak = 0;
+                }
+                self.keep(ticket, now);
+            }
             End::Failed => self.blame(ticket.endpoint, now),
             End::Unsent => {}
         }
@@ -187,7 +206,8 @@
 
     fn blame(&mut self, endpoint: EndpointId, now: Instant) {
         let weight = (self.faults(&endpoint, now) + 1.0).min(MAX_FAULTS);
-        self.faults.insert(endpoint, Faults { weight, at: now });
+        let streak = self.faults.get(&endpoint).map_or(0, |faults| faults.streak) + 1;
+        self.faults.insert(endpoint, Faults { weight, at: now, streak });
     }
 
     fn faults(&self, endpoint: &str, now: Instant) -> f64 {
@@ -233,6 +253,14 @@
 
     /// Cost of a request at an endpoint, in turns of a full engine.
     fn cost(&self, found: &Registration, ask: &Ask, now: Instant) -> f64 {
+        let faults = self.faults.get(&found.id);
+        let shunned = faults.is_some_and(|faults| faults.shunned(now));
+        let shun = if shunned { SHUNNED_LOAD } else { 0.0 };
+        shun + self.sound_cost(found, ask, now)
+    }
+
+    /// Cost of a request at an endpoint that is not shunned.
+    fn sound_cost(&self, found: &Registration, ask: &Ask, now: Instant) -> f64 {
         let faults = self.faults(&found.id, now);
         let slots = f64::from(found.slots.max(1));
         // Endpoints of equal cost share the programs by hash.
--- a/crates/sched/tests/steward.rs
+++ b/crates/sched/tests/steward.rs
@@ -49,10 +49,14 @@
     booking.endpoint
 }
 
+fn all_but(fleet: &Fleet, endpoint: &str) -> Vec<sched::id::EndpointId> {
+    let ids = (0..fleet.len()).map(|number| format!("e{number}").into());
+    ids.filter(|id| id != endpoint).collect()
+}
+
 /// Books `count` plain requests at one engine.
 fn crowd(board: &mut Board, fleet: &Fleet, endpoint: &str, count: u32, now: Instant) {
-    let others = (0..fleet.len()).map(|number| format!("e{number}").into());
-    let avoid: Vec<_> = others.filter(|id| id != endpoint).collect();
+    let avoid = all_but(fleet, endpoint);
     for number in 0..count {
         let ask = Ask { avoid: avoid.clone(), ..ask(&format!("crowd-{number}"), None) };
         board.book(fleet, "here", &ask, now).expect("an engine");
@@ -150,8 +154,7 @@
         for number in 0..3 {
             for endpoint in ["e0", "e1"] {
                 let request = format!("{endpoint}-{number}");
-                let avoid = ["e0", "e1", "e2", "e3"].into_iter().filter(|id| *id != endpoint);
-                let ask = Ask { avoid: avoid.map(Into::into).collect(), ..ask(&request, None) };
+                let ask = Ask { avoid: all_but(&fleet, endpoint), ..ask(&request, None) };
                 board.book(&fleet, "here", &ask, now).expect("a booking");
                 board.release(&request, End::Failed, now);
             }
@@ -255,6 +258,43 @@
         assert_ne!(unused.endpoint, play(&mut board, &fleet, &turn("next", 7, 3_500), now));
     }
 
+    an_endpoint_that_fails_all_requests_is_shunned(now) {
+        let (fleet, mut board) = (fleet(3), Board::default());
+for number in 0..5 {
+            let failed = format!("f{number}");
+            let ask = Ask { avoid: all_but(&fleet, "e0"), ..ask(&failed, None) };
+            board.book(&fleet, "here", &ask, now).expect("an endpoint");
+            board.release(&failed, End::Failed, now);
+        }
+        // The two others fill up and queue as long as their slots before it is asked.
+        for number in 0..3 * SLOTS {
+            let turn = turn(&format!("t{number}"), 100 + u64::from(number), 500);
+            assert_ne!(board.book(&fleet, "here", &turn, now).expect("an engine").endpoint, "e0");
+        }
+        // One more request tells whether it is well again, and it gets its part then.
+        let later = now + Duration::from_secs(8);
+        let told = (0..8).any(|number| {
+            let turn = turn(&format!("l{number}"), 200 + number, 500);
+            let endpoint = play(&mut board, &fleet, &turn, later);
+            endpoint == "e0"
+        });
+        assert!(told, "it is never tried again");
+    }
+
+    a_success_ends_a_row_of_failures(now) {
+        let (fleet, mut board) = (fleet(1), Board::default());
+        let free = board.book(&fleet, "here", &ask("r", None), now).expect("an endpoint").cost;
+        for number in 0..6 {
+            let request = format!("f{number}");
+            board.book(&fleet, "here", &ask(&request, None), now);
+            let end = if number % 3 == 2 { End::Done } else { End::Failed };
+            board.release(&request, end, now);
+        }
+        board.release("r", End::Done, now);
+        let cost = board.book(&fleet, "here", &ask("last", None), now).expect("an endpoint").cost;
+        assert!(cost < free + 2.0, "{free} {cost}");
+    }
+
     engines_that_fail_are_left_even_where_they_keep_the_prompt(now) {
         let (fleet, mut board) = (fleet(2), Board::default());
         let first = play(&mut board, &fleet, &turn("r0", 7, 3_000), now);
