Send a stream once more when its first event is late

Cause: an engine that has gone mute after it took a request keeps the connection open, so the daemon waited until the route's timeout and the client for two seconds of silence; each such turn cost its program its objective.

Change: the repeat of late safe requests covers streams that may be resumed, after four target latencies, within the same retry budget.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -98,6 +98,23 @@
     assert_eq!(ids(&endpoint), ["r-1", "r-1"]);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_does_not_begin_is_sent_once_more() {
+    let (gate, endpoint) = single("mute", [Act::Silent, streaming(4, GAP)]).await;
+    let answer = gate.ask(0, "/stream/x", "r-1", &["Deadline-Ms: 2500"]).await;
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(events(&answer), [1, 2, 3, 4]);
+    assert_eq!(ids(&endpoint), ["r-1", "r-1"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_cannot_be_resumed_is_not_sent_again() {
+    let (gate, endpoint) = single("mute-plain", [Act::Silent, streaming(4, GAP)]).await;
+    let answer = gate.ask(0, "/plain/x", "r-1", &["Deadline-Ms: 2500"]).await;
+    assert_eq!(answer.status, 504, "{answer:?}");
+    assert_eq!(ids(&endpoint), ["r-1"]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn few_late_requests_are_repeated() {
     let (gate, endpoint) = single("late", vec![Act::Silent; 40]).await;
--- a/crates/sched/src/hedge.rs
+++ b/crates/sched/src/hedge.rs
@@ -2,13 +2,16 @@
 //!
 //! An answer that is lost on its way leaves its connection silent, and the endpoint looks well. The
 //! client's deadline is then the only other sign, and a program whose tool call meets it fails. So a
-//! safe request that is unanswered when its full credit is gone is sent again. A burst makes all
-//! requests late at once, and repeating them would make it worse; the retry budget bounds repeats to
-//! a share of the requests.
+//! safe request that is unanswered when its full credit is gone is sent again, and a stream that may
+//! be resumed when its first event is some times as late, since it may wait for a slot. A burst makes
+//! all requests late at once, and repeating them would make it worse; the retry budget bounds repeats
+//! to a share of the requests.
 
 use crate::route::{Kind, Route};
 use std::time::Duration;
 
+/// Target latencies for which the first event of a stream may be late; in a burst it waits for a slot.
+const STREAM_PATIENCE: u32 = 4;
 /// Repeats that each request allows.
 const SHARE: f64 = 0.05;
 /// Most repeats that are saved up.
@@ -20,7 +23,8 @@
 pub fn patience(route: &Route) -> Option<Duration> {
     match route.kind {
         Kind::Safe => Some(route.target_latency),
-        Kind::Unsafe | Kind::Stream { .. } => None,
+        Kind::Stream { resumable: true } => Some(route.target_latency * STREAM_PATIENCE),
+        Kind::Unsafe | Kind::Stream { resumable: false } => None,
     }
 }
 
--- a/crates/sched/tests/hedge.rs
+++ b/crates/sched/tests/hedge.rs
@@ -17,7 +17,8 @@
 kinds! {
     a_safe_request_is_repeated_when_its_full_credit_is_gone: Kind::Safe => Some(Duration::from_millis(250));
     an_unsafe_request_is_never_repeated: Kind::Unsafe => None;
-    a_stream_is_resumed_not_repeated: Kind::Stream { resumable: true } => None;
+    a_stream_may_wait_longer_for_its_first_event: Kind::Stream { resumable: true } => Some(Duration::from_secs(1));
+    a_stream_that_cannot_be_resumed_is_never_repeated: Kind::Stream { resumable: false } => None;
 }
 
 #[test]
