Say what a turn costs in one function, and bound the parts that a steward follows

The cost of turns and of plain requests are separate functions; a prompt is followed up to 32 parts, since its list is the client's and each part is looked up at each engine.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -37,6 +37,8 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Time before the end of the wait at which the last answer is given.
 const LAST_ANSWER: Duration = Duration::from_millis(15);
+/// Parts of a prompt that a steward follows; a line of turns has a few, however long it is.
+const MAX_PROMPT_PARTS: usize = 32;
 /// Weight of the affinity to an endpoint, as a share of its slots.
 const AFFINITY_LOAD: f64 = 0.3;
 
@@ -301,7 +303,7 @@
             request: facts.id.clone(),
             program: self.route.kind.streams().then(|| facts.program.clone()).flatten(),
             service: self.service.clone(),
-            prompt: facts.parts.clone(),
+            prompt: facts.parts.iter().take(MAX_PROMPT_PARTS).copied().collect(),
             memory: self.engine().map_or(0, |engine| engine.memory),
             avoid: self.attempt.refused_by().to_vec(),
         }
--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -67,7 +67,7 @@
     pub program: Option<ProgramId>,
     /// The service.
     pub service: crate::id::ServiceId,
-    /// Parts of its prompt, in order.
+    /// Parts of its prompt, in order, as far as they are followed.
     pub prompt: Vec<Part>,
     /// Memory of one engine of the service, in tokens; 0 where it is not known.
     pub memory: Tokens,
@@ -139,7 +139,7 @@
 pub struct Board {
     booked: IndexMap<EndpointId, u32>,
     tickets: IndexMap<RequestId, Ticket>,
-    caches: IndexMap<EndpointId, Memory>,
+    memories: IndexMap<EndpointId, Memory>,
     faults: IndexMap<EndpointId, Faults>,
 }
 
@@ -196,7 +196,7 @@
         }
         let incarnation = ticket.incarnation;
         let empty = || Memory { incarnation, cache: Cache::default(), used: now };
-        let memory = self.caches.entry(ticket.endpoint).or_insert_with(empty);
+        let memory = self.memories.entry(ticket.endpoint).or_insert_with(empty);
         if memory.incarnation != incarnation {
             *memory = empty();
         }
@@ -226,7 +226,7 @@
         self.tickets.retain(|_, ticket| !lapsed(ticket));
         gone.iter().for_each(|endpoint| self.unbook(endpoint));
         self.booked.retain(|_, count| *count > 0);
-        self.caches.retain(|_, memory| now.duration_since(memory.used) < MEMORY_LIFE);
+        self.memories.retain(|_, memory| now.duration_since(memory.used) < MEMORY_LIFE);
         self.faults.retain(|_, faults| faults.weight(now) > FORGOTTEN_FAULTS);
     }
 
@@ -253,36 +253,47 @@
 
     /// Cost of a request at an endpoint, in turns of a full engine.
     fn cost(&self, found: &Registration, ask: &Ask, now: Instant) -> f64 {
-        let faults = self.faults.get(&found.id);
-        let shunned = faults.is_some_and(|faults| faults.shunned(now));
-        let shun = if shunned { SHUNNED_LOAD } else { 0.0 };
-        shun + self.sound_cost(found, ask, now)
+        let shunned = self.faults.get(&found.id).is_some_and(|faults| faults.shunned(now));
+        let faults = self.faults(&found.id, now);
+        let cost = match &ask.program {
+            Some(program) => self.turn_cost(found, program, &ask.prompt, faults),
+            None => self.plain_cost(found, &ask.request, faults),
+        };
+        if shunned { cost + SHUNNED_LOAD } else { cost }
     }
 
-    /// Cost of a request at an endpoint that is not shunned.
-    fn sound_cost(&self, found: &Registration, ask: &Ask, now: Instant) -> f64 {
-        let faults = self.faults(&found.id, now);
-        let slots = f64::from(found.slots.max(1));
-        // Endpoints of equal cost share the programs by hash.
-        let shared = ask.program.as_ref().unwrap_or(&ask.request);
-        let spread = members::weight(shared, &found.id) as f64 / u64::MAX as f64;
+    fn plain_cost(&self, found: &Registration, request: &RequestId, faults: f64) -> f64 {
+        self.load(found) + spread(found, request) + faults * FAULT_LOAD
+    }
+
+    fn turn_cost(
+        &self,
+        found: &Registration,
+        program: &ProgramId,
+        prompt: &[Part],
+        faults: f64,
+    ) -> f64 {
         let load = self.load(found);
-        if ask.program.is_none() {
-            return load + spread / slots / 2.0 + faults * FAULT_LOAD;
-        }
-        let queue = (load + 1.0 / slots - 1.0).max(0.0);
+        let slots = f64::from(found.slots.max(1));
         let batch = load.min(1.0);
-        let kept = if faults < UNKEPT_FAULTS { self.kept(found, &ask.prompt) } else { 0 };
-        let prompt: Tokens = ask.prompt.iter().map(|part| part.tokens).sum();
-        let reading = prompt.saturating_sub(kept) as f64 / TOKENS_PER_TURN;
+        let queue = (load + 1.0 / slots - 1.0).max(0.0);
+        let crowd = (batch + spread(found, program)) * FULL_BATCH;
+        let kept = if faults < UNKEPT_FAULTS { self.kept(found, prompt) } else { 0 };
+        let tokens: Tokens = prompt.iter().map(|part| part.tokens).sum();
+        let reading = tokens.saturating_sub(kept) as f64 / TOKENS_PER_TURN;
         let held_up = reading * SHARED_READING * batch * slots;
-        let crowd = (batch + spread / slots / 2.0) * FULL_BATCH;
         queue + crowd + reading + held_up + faults * TURN_FAULT_LOAD
     }
 
     fn kept(&self, found: &Registration, prompt: &[Part]) -> Tokens {
-        let memory = self.caches.get(&found.id);
+        let memory = self.memories.get(&found.id);
         let memory = memory.filter(|memory| memory.incarnation == found.incarnation);
         memory.map_or(0, |memory| memory.cache.kept(prompt))
     }
 }
+
+/// Part of a slot's load by which endpoints of equal load share programs or requests by hash.
+fn spread(found: &Registration, name: &str) -> f64 {
+    let hash = members::weight(&name, &found.id) as f64 / u64::MAX as f64;
+    hash / f64::from(found.slots.max(1)) / 2.0
+}
