Release the booking of the endpoint that was booked

Cause: a release is told in the background while the request's next try is booked directly, so the booking usually comes first. The release named the request only: it ended the new booking, and a failure was blamed on the endpoint that the request had just been sent to. Found by reading.

Change: a release names its endpoint. A failure counts against that one whether or not its booking still stands.

The test of the late release fails on the former code, which has no booking left after it.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -53,7 +53,7 @@
                 let _ = outbox.send(Reply::Gateway(Answer::Booked(booking))).await;
             });
         }
-        Ask::Release { request, end } => stewards.end(&request, end),
+        Ask::Release { request, endpoint, end } => stewards.end(&request, &endpoint, end),
         Ask::Inherit(program) => {
             let legacy = desk.give(&program);
             tokio::spawn(async move {
--- a/crates/gateway/src/stewards.rs
+++ b/crates/gateway/src/stewards.rs
@@ -54,7 +54,7 @@
 
 impl Drop for Booked {
     fn drop(&mut self) {
-        self.stewards.release(&self.steward, &self.request, self.end);
+        self.stewards.release(self);
     }
 }
 
@@ -130,8 +130,8 @@
     }
 
     /// Releases as the steward.
-    pub fn end(&self, request: &str, end: steward::End) {
-        self.board().release(request, end, Instant::now());
+    pub fn end(&self, request: &str, endpoint: &str, end: steward::End) {
+        self.board().release(request, endpoint, end, Instant::now());
     }
 
     /// Ends bookings whose daemons are gone.
@@ -139,12 +139,15 @@
         self.board().sweep(now);
     }
 
-    fn release(&self, steward: &Member, request: &RequestId, end: steward::End) {
-        match steward.vm == self.settings.vm {
-            true => self.end(request, end),
+    fn release(&self, booked: &Booked) {
+        let (request, end) = (&booked.request, booked.end);
+        let endpoint = &booked.registration.id;
+        match booked.steward.vm == self.settings.vm {
+            true => self.end(request, endpoint, end),
             false => {
-                let release = Ask::Release { request: request.clone(), end };
-                self.desk.tell(steward.addr.clone(), release);
+                let (request, endpoint) = (request.clone(), endpoint.clone());
+                let release = Ask::Release { request, endpoint, end };
+                self.desk.tell(booked.steward.addr.clone(), release);
             }
         }
     }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -115,6 +115,8 @@
     Release {
         /// The request.
         request: RequestId,
+        /// The endpoint that was booked.
+        endpoint: EndpointId,
         /// How it ended.
         end: steward::End,
     },
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -65,7 +65,9 @@
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
                 let booking = board.book(&fleet, "dc-a", &ask, now);
-                board.release(&ask.request, End::Done, now);
+                if let Some(booking) = &booking {
+                    board.release(&ask.request, &booking.endpoint, End::Done, now);
+                }
                 booking
             });
         });
--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -146,7 +146,7 @@
 impl Board {
     /// Books an engine of the data centre `dc`.
     pub fn book(&mut self, fleet: &Fleet, dc: &str, ask: &Ask, now: Instant) -> Option<Booking> {
-        self.release(&ask.request, End::Unsent, now);
+        self.unbook(&ask.request);
         let usable = fleet.usable(&ask.service, now).filter(|candidate| {
             candidate.registration.dc == dc && !ask.avoid.contains(&candidate.registration.id)
         });
@@ -171,24 +171,29 @@
         Some(Booking { endpoint, load, cost })
     }
 
-    /// Ends a booking.
-    pub fn release(&mut self, request: &str, end: End, now: Instant) {
-        let Some(ticket) = self.tickets.swap_remove(request) else {
-            return;
-        };
-        self.unbook(&ticket.endpoint);
+    /// Ends the booking of an endpoint.
+    ///
+    /// A request that is tried again may be booked anew before its former booking is released, so the
+    /// endpoint tells which one ends.
+    pub fn release(&mut self, request: &str, endpoint: &str, end: End, now: Instant) {
+        let booked = self.tickets.get(request).is_some_and(|ticket| ticket.endpoint == endpoint);
+        let ticket = if booked { self.unbook(request) } else { None };
         match end {
-            End::Done => {
-                if let Some(faults) = self.faults.get_mut(&ticket.endpoint) {
-                    faults.streak = 0;
-                }
-                self.keep(ticket, now);
-            }
-            End::Failed => self.blame(ticket.endpoint, now),
+            End::Done => self.succeed(endpoint, ticket, now),
+            End::Failed => self.blame(endpoint.into(), now),
             End::Unsent => {}
         }
     }
 
+    fn succeed(&mut self, endpoint: &str, ticket: Option<Ticket>, now: Instant) {
+        if let Some(faults) = self.faults.get_mut(endpoint) {
+            faults.streak = 0;
+        }
+        if let Some(ticket) = ticket {
+            self.keep(ticket, now);
+        }
+    }
+
     /// Notes that an engine has read a prompt.
     fn keep(&mut self, ticket: Ticket, now: Instant) {
         if ticket.prompt.is_empty() {
@@ -217,14 +222,11 @@
     /// Ends bookings whose daemons are gone.
     pub fn sweep(&mut self, now: Instant) {
         let lapsed = |ticket: &Ticket| now.duration_since(ticket.since) > BOOKING_LIFE;
-        let gone: Vec<EndpointId> = self
-            .tickets
-            .values()
-            .filter(|ticket| lapsed(ticket))
-            .map(|ticket| ticket.endpoint.clone())
-            .collect();
-        self.tickets.retain(|_, ticket| !lapsed(ticket));
-        gone.iter().for_each(|endpoint| self.unbook(endpoint));
+        let tickets = self.tickets.iter().filter(|(_, ticket)| lapsed(ticket));
+        let gone: Vec<RequestId> = tickets.map(|(request, _)| request.clone()).collect();
+        for request in &gone {
+            self.unbook(request);
+        }
         self.booked.retain(|_, count| *count > 0);
         self.memories.retain(|_, memory| now.duration_since(memory.used) < MEMORY_LIFE);
         self.faults.retain(|_, faults| faults.weight(now) > FORGOTTEN_FAULTS);
@@ -240,10 +242,12 @@
         self.tickets.is_empty()
     }
 
-    fn unbook(&mut self, endpoint: &str) {
-        if let Some(count) = self.booked.get_mut(endpoint) {
+    fn unbook(&mut self, request: &str) -> Option<Ticket> {
+        let ticket = self.tickets.swap_remove(request)?;
+        if let Some(count) = self.booked.get_mut(&ticket.endpoint) {
             *count = count.saturating_sub(1);
         }
+        Some(ticket)
     }
 
     fn load(&self, registration: &Registration) -> f64 {
--- a/crates/sched/tests/steward.rs
+++ b/crates/sched/tests/steward.rs
@@ -45,7 +45,7 @@
 /// Books a turn, ends it and returns its engine.
 fn play(board: &mut Board, fleet: &Fleet, ask: &Ask, now: Instant) -> sched::id::EndpointId {
     let booking = board.book(fleet, "here", ask, now).expect("an engine");
-    board.release(&ask.request, End::Done, now);
+    board.release(&ask.request, &booking.endpoint, End::Done, now);
     booking.endpoint
 }
 
@@ -86,15 +86,19 @@
             })
             .collect();
         rng.shuffle(&mut turns);
+        let mut engines = Vec::new();
         for turn in &turns {
             let booking = board.book(&fleet, "here", turn, now).expect("an engine");
+            engines.push(booking.endpoint.clone());
             let cache = caches.entry(booking.endpoint).or_default();
             let hit = cache.kept(&turn.prompt);
             kept += hit;
             read += turn.prompt.iter().map(|part| part.tokens).sum::<u64>() - hit;
             cache.keep(&turn.prompt, turn.memory);
         }
-        turns.iter().for_each(|turn| board.release(&turn.request, End::Done, now));
+        for (turn, endpoint) in turns.iter().zip(&engines) {
+            board.release(&turn.request, endpoint, End::Done, now);
+        }
     }
     (read, kept)
 }
@@ -127,7 +131,8 @@
         if under_way.len() > 8 {
             let (request, endpoint) = under_way.pop_front().expect("a request");
             let failed = faulty.contains(&endpoint.as_str()) && number % 2 == 0;
-            board.release(&request, if failed { End::Failed } else { End::Done }, now);
+            let end = if failed { End::Failed } else { End::Done };
+            board.release(&request, &endpoint, end, now);
         }
     }
     got
@@ -156,7 +161,7 @@
                 let request = format!("{endpoint}-{number}");
                 let ask = Ask { avoid: all_but(&fleet, endpoint), ..ask(&request, None) };
                 board.book(&fleet, "here", &ask, now).expect("a booking");
-                board.release(&request, End::Failed, now);
+                board.release(&request, endpoint, End::Failed, now);
             }
         }
         let mut turns = std::collections::BTreeMap::new();
@@ -253,7 +258,7 @@
     a_booking_that_was_not_used_tells_nothing_of_the_engine(now) {
         let (fleet, mut board) = (fleet(9), Board::default());
         let unused = board.book(&fleet, "here", &turn("r0", 7, 3_000), now).expect("an engine");
-        board.release("r0", End::Unsent, now);
+        board.release("r0", &unused.endpoint, End::Unsent, now);
         crowd(&mut board, &fleet, &unused.endpoint, 1, now);
         assert_ne!(unused.endpoint, play(&mut board, &fleet, &turn("next", 7, 3_500), now));
     }
@@ -263,8 +268,8 @@
 for number in 0..5 {
             let failed = format!("f{number}");
             let ask = Ask { avoid: all_but(&fleet, "e0"), ..ask(&failed, None) };
-            board.book(&fleet, "here", &ask, now).expect("an endpoint");
-            board.release(&failed, End::Failed, now);
+            let booking = board.book(&fleet, "here", &ask, now).expect("an endpoint");
+            board.release(&failed, &booking.endpoint, End::Failed, now);
         }
         // The two others fill up and queue as long as their slots before it is asked.
         for number in 0..3 * SLOTS {
@@ -281,6 +286,18 @@
         assert!(told, "it is never tried again");
     }
 
+    a_release_that_comes_late_ends_the_former_booking(now) {
+        let (fleet, mut board) = (fleet(2), Board::default());
+        let first = board.book(&fleet, "here", &ask("r0", None), now).expect("an endpoint");
+        let avoid = vec![first.endpoint.clone()];
+        let second = Ask { avoid, ..ask("r0", None) };
+        let second = board.book(&fleet, "here", &second, now).expect("an endpoint");
+        board.release("r0", &first.endpoint, End::Failed, now);
+        assert_eq!(board.len(), 1, "the second booking stands");
+        let next = board.book(&fleet, "here", &ask("r1", None), now).expect("an endpoint");
+        assert_eq!(next.endpoint, second.endpoint, "the failure is the first endpoint's");
+    }
+
     a_success_ends_a_row_of_failures(now) {
         let (fleet, mut board) = (fleet(1), Board::default());
         let free = board.book(&fleet, "here", &ask("r", None), now).expect("an endpoint").cost;
@@ -288,9 +305,9 @@
             let request = format!("f{number}");
             board.book(&fleet, "here", &ask(&request, None), now);
             let end = if number % 3 == 2 { End::Done } else { End::Failed };
-            board.release(&request, end, now);
+            board.release(&request, "e0", end, now);
         }
-        board.release("r", End::Done, now);
+        board.release("r", "e0", End::Done, now);
         let cost = board.book(&fleet, "here", &ask("last", None), now).expect("an endpoint").cost;
         assert!(cost < free + 2.0, "{free} {cost}");
     }
@@ -302,8 +319,8 @@
         for number in 0..3 {
             let failed = format!("f{number}");
             let ask = Ask { avoid: vec![other.into()], ..ask(&failed, None) };
-            board.book(&fleet, "here", &ask, now).expect("an engine");
-            board.release(&failed, End::Failed, now);
+            let booking = board.book(&fleet, "here", &ask, now).expect("an engine");
+            board.release(&failed, &booking.endpoint, End::Failed, now);
         }
         assert_eq!(play(&mut board, &fleet, &turn("next", 7, 3_500), now), other);
     }
@@ -317,8 +334,8 @@
     a_released_booking_leaves_room(now) {
         let (fleet, mut board) = (fleet(1), Board::default());
         board.book(&fleet, "here", &ask("r0", None), now);
-        board.release("r0", End::Done, now);
-        board.release("r0", End::Done, now);
+        board.release("r0", "e0", End::Done, now);
+        board.release("r0", "e0", End::Done, now);
         let booking = board.book(&fleet, "here", &ask("r1", None), now).expect("an engine");
         assert!(booking.load.abs() < f64::EPSILON);
     }
