Do not take long work for silence

Cause: a request that ended while its endpoint had been silent for 1.5 s counted as failed, and only the events of streams counted as heard. An answer that took 1.5 s of work therefore counted as its endpoint's failure.

Change: the head of an answer counts as heard.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -115,6 +115,23 @@
     assert_eq!(ids(&endpoint), ["r-1"]);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn long_work_is_not_taken_for_silence() {
+    let long = Endpoint::start("e-1", Act::Slow(Duration::from_millis(1_600))).await;
+    let other = Endpoint::start("e-2", Act::Slow(Duration::from_millis(1_000))).await;
+    let gate = Gate::start(BINARY, "long-work", 1, &[&long, &other]).await;
+    for batch in 0..2 {
+        let asks = (0..12).map(|number| {
+            let gate = &gate;
+            async move { gate.ask(0, "/unsafe/x", &format!("r-{batch}-{number}"), &[]).await }
+        });
+        let answers = futures::future::join_all(asks).await;
+        assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+    }
+    // Requests that come at once are shared; an endpoint whose requests count as failed gets few.
+    assert!(long.runs().len() >= 8, "{} of 24", long.runs().len());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn few_late_requests_are_repeated() {
     let (gate, endpoint) = single("late", vec![Act::Silent; 40]).await;
--- a/crates/gateway/src/forward/visit.rs
+++ b/crates/gateway/src/forward/visit.rs
@@ -219,7 +219,7 @@
         response: Response<Incoming>,
         link: Link,
         registration: Registration,
-        visit: Visit,
+        mut visit: Visit,
     ) -> Result<Head, Next> {
         let status = response.status().as_u16();
         let headers = response.headers();
@@ -244,6 +244,7 @@
             return Err(self.attempt.lose(&registration.id, Loss::Alive));
         }
         self.context.view.fleet(|fleet| fleet.succeed(&registration.id));
+        visit.hear();
         Ok(Head { response, link, registration, visit })
     }
 
