Say once what the last changes said twice

Found by reading the whole change; behaviour stays as it is.

* Quiet::Late was in the type of all waits, though only the wait for an answer's head can end so; that wait says so itself now, and streams have no arm for what cannot come.
* A steward looked an endpoint's failures up twice for each candidate and three times for each failure.
* A record of an unrecorded share was written out in two places of the ledger (Holding::record), a service's members were searched in three of the fleet (Fleet::of), a route of the test configuration in two (gate::route), and an answer to a peer in five (peers::reply).
* Records::list had only tests left to call it; the tests read the key-value service themselves, with the same assertions.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! What a gateway promises to clients and endpoints, while endpoints break off.
 
+use sched::id::ProgramId;
+use sched::spend::Record;
 use std::time::Duration;
 use testing::gate::{Answer, Gate, config, streaming, until};
 use testing::script::{Act, Endpoint};
@@ -16,6 +18,22 @@
     (gate, endpoint)
 }
 
+/// The durable records of programs' budgets.
+async fn recorded(gate: &Gate) -> Vec<(ProgramId, Record)> {
+    let listing = gate.store.list(gateway::members::RECORDS, "").await.expect("an answer");
+    let records = listing.entries.iter().map(|entry| {
+        let program = entry.key.strip_prefix(gateway::members::RECORDS).expect("a record's key");
+        (program.into(), serde_json::from_slice(&entry.value).expect("a record"))
+    });
+    records.collect()
+}
+
+/// The key of the first daemon as a founder.
+async fn books(gate: &Gate) -> Vec<u8> {
+    let key = gateway::members::founder_key("gate-0");
+    gate.store.get(&key).await.expect("an answer").expect("a founder").value
+}
+
 fn ids(endpoint: &Endpoint) -> Vec<String> {
     endpoint.runs().into_iter().map(|run| run.id).collect()
 }
@@ -381,19 +399,14 @@
     let endpoint = Endpoint::start("e-1", Act::Answer).await;
     let gate = Gate::start(BINARY, "trim", 1, &[&endpoint]).await;
     let records = gateway::records::Records::new(gate.store.clone());
-    let record = |keep_until_ms| sched::spend::Record {
-        budget: 9,
-        drawn: 9,
-        keep_until_ms,
-        ..sched::spend::Record::default()
-    };
+    let record = |keep_until_ms| Record { budget: 9, drawn: 9, keep_until_ms, ..Record::default() };
     for number in 0..40 {
         let name = format!("old-{number}");
         records.update(&name, |_| Some(record(1_000))).await.expect("a write");
     }
     records.update("young", |_| Some(record(500_000))).await.expect("a write");
     assert_eq!(records.trim(400_000).await.expect("a deletion"), 40);
-    let left = records.list().await.expect("an answer");
+    let left = recorded(&gate).await;
     assert_eq!(left, [("young".into(), record(500_000))]);
 }
 
@@ -406,16 +419,13 @@
         let answer = gate.ask(0, "/stream/x", &format!("r-{program}"), &[&id, BUDGET, USAGE]).await;
         assert_eq!(answer.status, 200, "{answer:?}");
     }
-    let records = gateway::records::Records::new(gate.store.clone());
-    assert_eq!(records.list().await.expect("an answer"), []);
+    assert_eq!(recorded(&gate).await, []);
     gate.daemons[0].process.terminate();
     gate.daemons[0].process.exited().await;
-    let left = records.list().await.expect("an answer");
+    let left = recorded(&gate).await;
     let drawn: Vec<u64> = left.iter().map(|(_, record)| record.drawn).collect();
     assert_eq!(drawn, [50; 40]);
-    let key = gateway::members::founder_key("gate-0");
-    let founder = gate.store.get(&key).await.expect("an answer").expect("a founder");
-    assert_eq!(founder.value, gateway::members::CLOSED);
+    assert_eq!(books(&gate).await, gateway::members::CLOSED);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -429,9 +439,7 @@
     gate.daemons[0].ready().await;
     gate.daemons[0].process.terminate();
     gate.daemons[0].process.exited().await;
-    let key = gateway::members::founder_key("gate-0");
-    let founder = gate.store.get(&key).await.expect("an answer").expect("a founder");
-    assert_eq!(founder.value, gateway::members::OPEN);
+    assert_eq!(books(&gate).await, gateway::members::OPEN);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,9 +19,9 @@
 use platform::header;
 use sched::attempt::{self, Attempt, Next};
 use sched::fleet::{Need, Registration};
-use sched::hedge;
 use sched::id::{EndpointId, Version};
 use sched::request::Facts;
+use sched::retry;
 use sched::route::{Engine, Route, Table};
 use sched::spend;
 use sched::steward;
@@ -54,7 +54,7 @@
     pub desk: Arc<Desk>,
     /// Bookings of engines.
     pub stewards: Arc<Stewards>,
-    repeats: Mutex<hedge::Budget>,
+    repeats: Mutex<retry::Budget>,
     rng: Mutex<fastrand::Rng>,
 }
 
@@ -72,7 +72,7 @@
     }
 
     /// Accounts for repeats of unanswered requests.
-    fn with_repeats<R>(&self, account: impl FnOnce(&mut hedge::Budget) -> R) -> R {
+    fn with_repeats<R>(&self, account: impl FnOnce(&mut retry::Budget) -> R) -> R {
         account(&mut self.repeats.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
@@ -140,7 +140,7 @@
     let wait = arrival.facts.deadline.map_or(route.timeout, |wait| wait.min(route.timeout));
     let trip = Trip {
         attempt: Attempt::new(route.kind, route.max_attempts),
-        patience: hedge::patience(route),
+        patience: retry::patience(route),
         version: table.version,
         until: arrival.at + wait,
         service: service.clone(),
@@ -174,7 +174,7 @@
 
     async fn run(mut self) -> Response<Body> {
         if self.patience.is_some() {
-            self.context.with_repeats(hedge::Budget::earn);
+            self.context.with_repeats(retry::Budget::earn);
         }
         let reservation = match self.reserve().await {
             Ok(reservation) => reservation,
--- a/crates/gateway/src/forward/visit.rs
+++ b/crates/gateway/src/forward/visit.rs
@@ -13,8 +13,8 @@
 use platform::header;
 use sched::attempt::{Loss, Next};
 use sched::fleet::Registration;
-use sched::hedge;
 use sched::id::EndpointId;
+use sched::retry;
 use sched::steward;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -33,8 +33,6 @@
     Overdue,
     /// It takes no connection any more.
     Silent,
-    /// It is not waited for any longer, since the request may be sent once more.
-    Late,
 }
 
 /// A request at an endpoint.
@@ -112,10 +110,10 @@
         self.attempt.send();
         let sent = Instant::now();
         let error = match self.hear_head(&registration, link.send(order)).await {
-            Ok(Ok(response)) => return self.check(response, link, registration, visit),
-            Ok(Err(error)) => error,
-            Err(Quiet::Late) => return Err(self.repeat(&registration, visit)),
-            Err(Quiet::Overdue | Quiet::Silent) => upstream::Error::Silent,
+            Some(Ok(Ok(response))) => return self.check(response, link, registration, visit),
+            Some(Ok(Err(error))) => error,
+            Some(Err(Quiet::Overdue | Quiet::Silent)) => upstream::Error::Silent,
+            None => return Err(self.repeat(&registration, visit)),
         };
         if link.reused && matches!(error, upstream::Error::Unsent) {
             return Err(self.attempt.unsent(&registration.id));
@@ -130,20 +128,20 @@
         })
     }
 
-    /// Waits for the head of an answer, or until the request may be sent once more.
+    /// Waits for the head of an answer; `None` when the request is to be sent once more instead.
     async fn hear_head<T>(
         &self,
         registration: &Registration,
         heard: impl Future<Output = T>,
-    ) -> Result<T, Quiet> {
+    ) -> Option<Result<T, Quiet>> {
         let mut heard = std::pin::pin!(self.hear(registration, heard));
         let Some(patience) = self.patience else {
-            return heard.await;
+            return Some(heard.await);
         };
         match timeout(patience, heard.as_mut()).await {
-            Ok(heard) => heard,
-            Err(_) if self.context.with_repeats(hedge::Budget::spend) => Err(Quiet::Late),
-            Err(_) => heard.await,
+            Ok(heard) => Some(heard),
+            Err(_) if self.context.with_repeats(retry::Budget::spend) => None,
+            Err(_) => Some(heard.await),
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -38,35 +38,31 @@
                     Ok(granted) => granted,
                     Err(_) => {
                         // An asker that has gone settles with its next reservation.
-                        let _ = outbox.send(Reply::Gateway(Answer::Pending)).await;
+                        reply(&outbox, Answer::Pending).await;
                         decision.await
                     }
                 };
-                let _ = outbox.send(Reply::Gateway(Answer::Reserved(granted))).await;
+                reply(&outbox, Answer::Reserved(granted)).await;
             });
         }
         Ask::Settle(settlement) => desk.settle(&settlement),
         Ask::Book { dc, ask } => {
             let booking = stewards.decide(&dc, &ask, Instant::now());
-            tokio::spawn(async move {
-                // A booking whose asker has gone lapses.
-                let _ = outbox.send(Reply::Gateway(Answer::Booked(booking))).await;
-            });
+            // A booking whose asker has gone lapses.
+            tokio::spawn(async move { reply(&outbox, Answer::Booked(booking)).await });
         }
         Ask::Release { request, endpoint, end } => stewards.end(&request, &endpoint, end),
         Ask::Inherit(program) => {
             let legacy = desk.give(&program);
-            tokio::spawn(async move {
-                // What an asker that has gone would have inherited counts as spent.
-                let _ = outbox.send(Reply::Gateway(Answer::Inherited(legacy))).await;
-            });
+            // What an asker that has gone would have inherited counts as spent.
+            tokio::spawn(async move { reply(&outbox, Answer::Inherited(legacy)).await });
         }
         Ask::Draw { ask, owner, draw } => {
             let desk = desk.clone();
             tokio::spawn(async move {
                 let drawn = desk.draw(&ask, &owner, draw).await;
                 // What was drawn for an asker that has gone stays unused.
-                let _ = outbox.send(Reply::Gateway(Answer::Drawn(drawn))).await;
+                reply(&outbox, Answer::Drawn(drawn)).await;
             });
         }
         Ask::Follow { version } => {
@@ -76,6 +72,11 @@
     }
 }
 
+/// Sends an answer; each question says what becomes of it when the asker has gone.
+async fn reply(outbox: &Outbox, answer: Answer) {
+    let _ = outbox.send(Reply::Gateway(answer)).await;
+}
+
 async fn follow(mut cursor: Cursor, outbox: Outbox, view: Arc<View>, sources: Arc<Sources>) {
     let mut changes = view.subscribe();
     loop {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -189,20 +189,6 @@
         self.kv.delete_unchanged(&over).await?;
         Ok(over.len())
     }
-
-    /// Reads all records.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] when the service is out of reach.
-    pub async fn list(&self) -> Result<Vec<(ProgramId, Record)>, Error> {
-        let listing = self.bounded(self.kv.list(members::RECORDS, "")).await?;
-        let records = listing.entries.iter().filter_map(|entry| {
-            let program = entry.key.strip_prefix(members::RECORDS)?;
-            Some((program.into(), serde_json::from_slice(&entry.value).ok()?))
-        });
-        Ok(records.collect())
-    }
 }
 
 fn encode(record: &Record) -> Result<Vec<u8>, Error> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -206,9 +206,7 @@
             Ok(Some(Err(error))) => return Heard::Broken(error.to_string()),
             Ok(None) => return Heard::End,
             Err(Quiet::Overdue) => return Heard::Overdue,
-            Err(Quiet::Silent | Quiet::Late) => {
-                return Heard::Broken("the endpoint stays silent".to_owned());
-            }
+            Err(Quiet::Silent) => return Heard::Broken("the endpoint stays silent".to_owned()),
         }
     }
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -188,17 +188,17 @@
 
     /// Data centres that have endpoints of a service.
     pub fn dcs(&self, service: &str) -> IndexSet<DcId> {
+        self.of(service).map(|member| member.registration.dc.clone()).collect()
+    }
+
+    fn of(&self, service: &str) -> impl Iterator<Item = &Member> {
         let ids = self.services.get(service).into_iter().flatten();
         ids.filter_map(|id| self.members.get(id))
-            .map(|member| member.registration.dc.clone())
-            .collect()
     }
 
     /// Endpoints of a service that take work.
     pub fn usable(&self, service: &str, now: Instant) -> impl Iterator<Item = Candidate<'_>> {
-        let ids = self.services.get(service).into_iter().flatten();
-        let members = ids.filter_map(|id| self.members.get(id));
-        members.filter(move |member| member.usable(now)).map(move |member| Candidate {
+        self.of(service).filter(move |member| member.usable(now)).map(move |member| Candidate {
             registration: &member.registration,
             ejected: member.ejected(now),
             full: member.full(now),
@@ -238,7 +238,7 @@
     ) -> Option<Registration> {
         let ids = self.services.get(service)?;
         let candidates: Vec<&Member> = match ids.len() {
-            0..=SCAN_ALL => ids.iter().filter_map(|id| self.members.get(id)).collect(),
+            0..=SCAN_ALL => self.of(service).collect(),
             count => (0..SAMPLES)
                 .filter_map(|_| ids.get_index(rng.usize(..count)))
                 .filter_map(|id| self.members.get(id))
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`config`] is the operators' configuration, replayed from its numbered changes;
 //! * [`grant`] is the account ledger that several logs draw from;
 //! * [`queue`], [`place`], [`predict`] and [`health`] choose which call runs next, and where;
-//! * [`route`], [`request`], [`fleet`], [`prefix`], [`steward`], [`hedge`] and [`spend`] serve requests that are routed by host and path;
+//! * [`route`], [`request`], [`fleet`], [`prefix`], [`steward`], [`retry`] and [`spend`] serve requests that are routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons.
 
 pub mod attempt;
@@ -16,7 +16,6 @@
 pub mod fleet;
 pub mod grant;
 pub mod health;
-pub mod hedge;
 pub mod id;
 pub mod log;
 pub mod members;
@@ -28,6 +27,7 @@
 pub mod record;
 pub mod refusal;
 pub mod request;
+pub mod retry;
 pub mod route;
 pub mod spend;
 pub mod steward;
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -145,6 +145,18 @@
     retention: Duration,
 }
 
+impl Holding {
+    /// The record of what may have been handed out without one, kept from `now_ms` on.
+    fn record(&self, now_ms: u64) -> Record {
+        Record {
+            budget: self.budget,
+            drawn: self.unrecorded,
+            keep_until_ms: now_ms + self.retention.as_millis() as u64,
+            last: None,
+        }
+    }
+}
+
 /// All that an owner knows of a program, for the owner that takes its place.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inheritance {
@@ -310,11 +322,7 @@
             account.holding.free = false;
             account.holding.allowed = account.holding.allowed.min(spent);
             account.holding.unrecorded = spent.min(account.holding.unrecorded);
-            let keep_until_ms = now_ms + account.holding.retention.as_millis() as u64;
-            let drawn = account.holding.unrecorded;
-            let record =
-                Record { budget: account.holding.budget, drawn, keep_until_ms, last: None };
-            records.push((program.clone(), record));
+            records.push((program.clone(), account.holding.record(now_ms)));
         }
         for (program, given) in &mut self.given {
             if let Some(record) = given.record.take() {
@@ -404,12 +412,7 @@
             return Legacy::Nothing;
         };
         // The time is counted from the closing of the books.
-        let record = account.holding.free.then(|| Record {
-            budget: account.holding.budget,
-            drawn: account.holding.unrecorded,
-            keep_until_ms: account.holding.retention.as_millis() as u64,
-            last: None,
-        });
+        let record = account.holding.free.then(|| account.holding.record(0));
         let until = now + account.holding.retention.max(GIVEN_LIFE);
         let before = self.given.swap_remove(program).and_then(|given| given.record);
         self.given.insert(program.into(), Given { until, record: record.or(before) });
--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -112,8 +112,9 @@
         self.weight * (-halvings).exp2()
     }
 
-    fn shunned(&self, now: Instant) -> bool {
-        self.streak >= SHUNNED_STREAK && self.weight(now) >= SHUNNED_FAULTS
+    /// Tells whether the endpoint is shunned while its failures have this weight.
+    fn shunned(&self, weight: f64) -> bool {
+        self.streak >= SHUNNED_STREAK && weight >= SHUNNED_FAULTS
     }
 }
 
@@ -210,13 +211,10 @@
     }
 
     fn blame(&mut self, endpoint: EndpointId, now: Instant) {
-        let weight = (self.faults(&endpoint, now) + 1.0).min(MAX_FAULTS);
-        let streak = self.faults.get(&endpoint).map_or(0, |faults| faults.streak) + 1;
-        self.faults.insert(endpoint, Faults { weight, at: now, streak });
-    }
-
-    fn faults(&self, endpoint: &str, now: Instant) -> f64 {
-        self.faults.get(endpoint).map_or(0.0, |faults| faults.weight(now))
+        let none = Faults { weight: 0.0, at: now, streak: 0 };
+        let faults = self.faults.entry(endpoint).or_insert(none);
+        let weight = (faults.weight(now) + 1.0).min(MAX_FAULTS);
+        *faults = Faults { weight, at: now, streak: faults.streak + 1 };
     }
 
     /// Ends bookings whose daemons are gone.
@@ -257,13 +255,16 @@
 
     /// Cost of a request at an endpoint, in turns of a full engine.
     fn cost(&self, found: &Registration, ask: &Ask, now: Instant) -> f64 {
-        let shunned = self.faults.get(&found.id).is_some_and(|faults| faults.shunned(now));
-        let faults = self.faults(&found.id, now);
+        let faults = self.faults.get(&found.id);
+        let weight = faults.map_or(0.0, |faults| faults.weight(now));
         let cost = match &ask.program {
-            Some(program) => self.turn_cost(found, program, &ask.prompt, faults),
-            None => self.plain_cost(found, &ask.request, faults),
+            Some(program) => self.turn_cost(found, program, &ask.prompt, weight),
+            None => self.plain_cost(found, &ask.request, weight),
         };
-        if shunned { cost + SHUNNED_LOAD } else { cost }
+        match faults.is_some_and(|faults| faults.shunned(weight)) {
+            true => cost + SHUNNED_LOAD,
+            false => cost,
+        }
     }
 
     fn plain_cost(&self, found: &Registration, request: &RequestId, faults: f64) -> f64 {
--- a/crates/sched/tests/hedge.rs
+++ b/crates/sched/tests/retry.rs
@@ -1,6 +1,6 @@
 //! When unanswered requests are sent once more.
 
-use sched::hedge::{Budget, patience};
+use sched::retry::{Budget, patience};
 use sched::route::{Kind, Route};
 use std::time::Duration;
 
--- a/crates/testing/src/gate.rs
+++ b/crates/testing/src/gate.rs
@@ -334,21 +334,23 @@
     }
 }
 
+/// A route to `service`; streams under the prefix `stream` may be resumed.
+pub fn route(prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
+    json!({
+        "name": prefix, "hostname": HOST, "path_prefix": format!("/{prefix}/"), "kind": kind,
+        "timeout_ms": 3_000, "target_latency_ms": 250, "priority": 0, "backend": service,
+        "max_attempts": attempts, "retention_s": 60.0, "resumable": prefix == "stream",
+        "gap_aim_ms": 200,
+    })
+}
+
 /// A configuration with one route of each kind, all to service `s`.
 pub fn config(version: u64) -> Value {
-    let route = |prefix: &str, kind: &str, attempts: u32| {
-        json!({
-            "name": prefix, "hostname": HOST, "path_prefix": format!("/{prefix}/"), "kind": kind,
-            "timeout_ms": 3_000, "target_latency_ms": 250, "priority": 0, "backend": "s",
-            "max_attempts": attempts, "retention_s": 60.0, "resumable": prefix == "stream",
-            "gap_aim_ms": 200,
-        })
-    };
     json!({
         "version": version,
         "routes": [
-            route("safe", "safe", 2), route("unsafe", "unsafe", 2),
-            route("stream", "stream", 1), route("plain", "stream", 1),
+            route("safe", "safe", "s", 2), route("unsafe", "unsafe", "s", 2),
+            route("stream", "stream", "s", 1), route("plain", "stream", "s", 1),
         ],
         "services": [{
             "name": "s", "health_path": "/healthz", "max_connections": 100,
--- a/crates/testing/src/soak/stage.rs
+++ b/crates/testing/src/soak/stage.rs
@@ -214,21 +214,14 @@
 
 /// A configuration whose routes under `/v` tell its version: each is there for two versions.
 fn config(version: u64) -> Value {
-    let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
-        json!({
-            "name": prefix, "hostname": gate::HOST, "path_prefix": format!("/{prefix}/"),
-            "kind": kind, "timeout_ms": 3_000, "target_latency_ms": 250, "priority": 0,
-            "backend": service, "max_attempts": 2, "retention_s": 60.0, "resumable": resumable,
-            "gap_aim_ms": 200,
-        })
-    };
-    let mark = |version: u64| route(&format!("v{version}"), "safe", "t", false);
+    let route = |prefix: &str, kind: &str, service: &str| gate::route(prefix, kind, service, 2);
+    let mark = |version: u64| route(&format!("v{version}"), "safe", "t");
     let mut config = gate::config(version);
     config["routes"] = json!([
-        route("safe", "safe", "t", false),
-        route("unsafe", "unsafe", "t", false),
-        route("stream", "stream", "s", true),
-        route("plain", "stream", "s", false),
+        route("safe", "safe", "t"),
+        route("unsafe", "unsafe", "t"),
+        route("stream", "stream", "s"),
+        route("plain", "stream", "s"),
         mark(version),
         mark(version - 1),
     ]);
