Give tests addresses that no starting process holds

A process that another test starts at that moment inherits the socket until it executes its program, so the address stayed taken after the probe was dropped.

Ruled out: addresses given out twice (one counter in a process), ports of outgoing connections (they begin at 32,768), TIME_WAIT (every server sets SO_REUSEADDR).

Change: the probe binds and never listens, which does not conflict with a later listener.

--- a/crates/testing/src/net.rs
+++ b/crates/testing/src/net.rs
@@ -1,8 +1,9 @@
 //! HTTP servers on loopback.
 
 use rocket::{Build, Rocket};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU16, Ordering};
+use tokio::net::TcpSocket;
 
 /// A running server; it ends when dropped.
 pub struct Server {
@@ -33,13 +34,24 @@
         let step = NEXT.fetch_add(1, Ordering::Relaxed) % size;
         let port = PORTS.start + (first + step) % size;
         let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(addr).is_ok() {
+        if is_free(addr) {
             return addr;
         }
     }
     panic!("no loopback port is free");
 }
 
+/// Tells whether an address can be bound.
+///
+/// The socket never listens: a process that is being started inherits it for a moment, and a listening
+/// copy would keep the address taken.
+fn is_free(addr: SocketAddr) -> bool {
+    let Ok(socket) = TcpSocket::new_v4() else {
+        return false;
+    };
+    socket.set_reuseaddr(true).is_ok() && socket.bind(addr).is_ok()
+}
+
 /// Starts a server on loopback.
 ///
 /// # Panics
