--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -1,7 +1,9 @@
 //! What a gateway promises to clients and endpoints, while endpoints break off.
 
+use gateway::view::View;
 use sched::id::ProgramId;
 use sched::spend::Record;
+use std::sync::Arc;
 use std::time::Duration;
 use testing::gate::{Answer, Gate, config, streaming, until};
 use testing::script::{Act, Endpoint};
@@ -28,10 +30,9 @@
     records.collect()
 }
 
-/// The key of the first daemon as a founder.
-async fn books(gate: &Gate) -> Vec<u8> {
-    let key = gateway::members::founder_key("gate-0");
-    gate.store.get(&key).await.expect("an answer").expect("a founder").value
+/// Number of founders that have closed their books.
+async fn closed_books(gate: &Gate) -> usize {
+    gate.store.list(gateway::members::CLOSED, "").await.expect("an answer").entries.len()
 }
 
 fn ids(endpoint: &Endpoint) -> Vec<String> {
@@ -398,13 +399,14 @@
 async fn records_are_deleted_when_their_time_is_over() {
     let endpoint = Endpoint::start("e-1", Act::Answer).await;
     let gate = Gate::start(BINARY, "trim", 1, &[&endpoint]).await;
-    let records = gateway::records::Records::new(gate.store.clone());
+    let records = gateway::records::Records::new(gate.store.clone(), Arc::new(View::default()));
+    records.fetch_terms().await.expect("the terms");
     let record = |keep_until_ms| Record { budget: 9, drawn: 9, keep_until_ms, ..Record::default() };
     for number in 0..40 {
         let name = format!("old-{number}");
-        records.update(&name, |_| Some(record(1_000))).await.expect("a write");
+        records.update(&name, |_, _| Some(record(1_000))).await.expect("a write");
     }
-    records.update("young", |_| Some(record(500_000))).await.expect("a write");
+    records.update("young", |_, _| Some(record(500_000))).await.expect("a write");
     assert_eq!(records.trim(400_000).await.expect("a deletion"), 40);
     let left = recorded(&gate).await;
     assert_eq!(left, [("young".into(), record(500_000))]);
@@ -425,7 +427,7 @@
     let left = recorded(&gate).await;
     let drawn: Vec<u64> = left.iter().map(|(_, record)| record.drawn).collect();
     assert_eq!(drawn, [50; 40]);
-    assert_eq!(books(&gate).await, gateway::members::CLOSED);
+    assert_eq!(closed_books(&gate).await, 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -439,7 +441,29 @@
     gate.daemons[0].ready().await;
     gate.daemons[0].process.terminate();
     gate.daemons[0].process.exited().await;
-    assert_eq!(books(&gate).await, gateway::members::OPEN);
+    assert_eq!(closed_books(&gate).await, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn programs_that_begin_after_a_restart_of_all_daemons_need_no_record() {
+    let endpoint = Endpoint::start("e-1", streaming(5, Duration::from_millis(1))).await;
+    let mut gate = Gate::start(BINARY, "terms", 3, &[&endpoint]).await;
+    for daemon in &mut gate.daemons {
+        daemon.process.terminate();
+        daemon.process.exited().await;
+        daemon.restart();
+        daemon.ready().await;
+    }
+    for daemon in &gate.daemons {
+        daemon.in_term(2).await;
+    }
+    for program in 0..20 {
+        let id = format!("Program-Id: p-{program}");
+        let at = program % gate.daemons.len();
+        let answer = gate.ask(at, "/stream/x", &format!("r-{program}"), &[&id, BUDGET, USAGE]).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(recorded(&gate).await, []);
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -13,10 +13,12 @@
 use crate::peers;
 use crate::probes::{self, Probe};
 use crate::settings::{Settings, millis};
+use crate::terms;
 use crate::view::View;
 use anyhow::{Context, Result};
 use peer::gateway::Member;
 use platform::kv::{Client, Error, LeaseId, Swap};
+use sched::term::Incarnation;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -29,10 +31,6 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of deleting durable records whose time is over.
 const TRIM_INTERVAL: Duration = Duration::from_secs(60);
-/// Time after the first start of the whole system in which daemons become founders.
-///
-/// Clients come later, so no program begins before all of these know each other.
-const FOUNDING: Duration = Duration::from_secs(5);
 /// Pause before a failed registration is tried again.
 const REGISTER_RETRY: Duration = Duration::from_millis(500);
 
@@ -95,7 +93,8 @@
             }
         });
         tokio::spawn(sweep(context));
-        let member = tokio::spawn(hold_member(settings.clone(), kv.clone(), desk.clone()));
+        tokio::spawn(terms::keep(desk.clone(), kv.clone()));
+        let member = tokio::spawn(hold_member(settings.clone(), kv.clone(), desk.incarnation));
         log::info!(target: "daemon", vm = settings.vm.as_str(); "started");
         stop_signal().await?;
         log::info!(target: "daemon", vm = settings.vm.as_str(); "stopping");
@@ -189,20 +188,15 @@
 }
 
 /// Keeps this daemon's member key.
-async fn hold_member(settings: Arc<Settings>, kv: Client, desk: Arc<Desk>) {
-    let started = Instant::now();
+async fn hold_member(settings: Arc<Settings>, kv: Client, incarnation: Incarnation) {
     let member = Member {
         vm: settings.vm.clone(),
         dc: settings.dc.clone(),
         addr: settings.public_addr(),
-        incarnation: fastrand::u64(1..),
+        incarnation,
         cpu: (settings.cpu_share * 1_000.0) as u32,
     };
-    let mut founding = settings.first_start;
     loop {
-        if founding {
-            founding = started.elapsed() < FOUNDING && desk.found().await.is_none();
-        }
         if let Err(error) = hold_lease(&settings, &kv, &member).await {
             log::debug!(target: "member", "the member key is not held: {error}");
         }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -12,6 +12,7 @@
 use platform::kv;
 use sched::id::{ProgramId, RequestId, Tokens, VmId};
 use sched::spend::{self, Ledger};
+use sched::term::Incarnation;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -74,6 +75,8 @@
     pub(crate) suspects: Suspects,
     pub(crate) ledger: Mutex<Ledger>,
     counts: Mutex<IndexMap<ProgramId, Count>>,
+    /// Number of this process.
+    pub(crate) incarnation: Incarnation,
     /// Name of this process, by which owners count what it hands out.
     process: VmId,
 }
@@ -83,17 +86,20 @@
     pub fn new(settings: Arc<Settings>, view: Arc<View>, kv: kv::Client) -> Self {
         let key = settings.cluster_key.as_bytes();
         let peers = Peers::new(key, millis(settings.limits.peer_timeout_ms));
-        let process = format_compact!("{}/{:x}", settings.vm, fastrand::u64(..));
+        let incarnation = fastrand::u64(1..);
+        let process = format_compact!("{}/{incarnation:x}", settings.vm);
+        let records = Records::new(kv, view.clone());
         Self {
             settings,
             view,
-            records: Records::new(kv),
+            records,
             draws: std::array::from_fn(|_| tokio::sync::Mutex::default()),
             takeovers: std::array::from_fn(|_| tokio::sync::Mutex::default()),
             peers,
             suspects: Suspects::default(),
             ledger: Mutex::default(),
             counts: Mutex::default(),
+            incarnation,
             process,
         }
     }
@@ -154,7 +160,9 @@
     }
 
     fn owner(&self, program: &str, now: Instant) -> Option<Member> {
-        self.view.with_members(|live| members::owner(program, live, &self.suspects, now).cloned())
+        self.view.with_daemons(|roll, live| {
+            members::owner(program, roll, live, &self.suspects, now).cloned()
+        })
     }
 
     async fn ask_peer(&self, owner: &Member, ask: &spend::Ask) -> Reply {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,12 +14,13 @@
 use crate::{members, retire};
 use compact_str::CompactString;
 use indexmap::IndexMap;
-use peer::gateway::{Answer, Ask, Change, Founder, Member};
+use peer::gateway::{Answer, Ask, Change, Member};
 use peer::wire::{Reply, Request};
 use platform::kv::{Client, Entry, Error, Event};
 use platform::{config, registry};
 use sched::fleet::Registration;
 use sched::id::VmId;
+use sched::term::Roll;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -232,8 +233,12 @@
     fn replace(&self, entries: &[Entry], revision: u64) {
         let registrations = entries.iter().filter_map(registration).collect();
         let members = entries.iter().filter_map(member).collect();
-        let founders = entries.iter().filter_map(founder).collect();
-        self.view.replace(registrations, members, founders, revision, Instant::now());
+        let terms = entries.iter().find(|entry| entry.key == members::TERMS);
+        let terms = terms.and_then(|entry| Some((members::terms(entry)?, entry.revision)));
+        let (terms, revision_of_terms) = terms.unwrap_or_default();
+        let closed = entries.iter().filter_map(|entry| members::closed_founder(&entry.key));
+        let roll = Roll { terms, revision: revision_of_terms, closed: closed.collect() };
+        self.view.replace(registrations, members, roll, revision, Instant::now());
     }
 
     /// Follows one delegate after the other; `slot` keeps the feeds of one daemon apart.
@@ -307,11 +312,6 @@
     serde_json::from_slice(&entry.value).ok()
 }
 
-fn founder(entry: &Entry) -> Option<Founder> {
-    let vm = entry.key.strip_prefix(members::FOUNDERS)?.into();
-    Some(Founder { vm, closed: entry.value == members::CLOSED })
-}
-
 /// Turns an event into a change; an entry that cannot be read names no endpoint to use.
 fn change(event: Event) -> Option<Change> {
     match event {
@@ -320,8 +320,11 @@
                 let found = registration(&entry).map(Change::Registered);
                 return found.or(Some(Change::Vanished(id.into())));
             }
+            if entry.key == members::TERMS {
+                return members::terms(&entry).map(|terms| Change::Terms(terms, entry.revision));
+            }
             let joined = member(&entry).map(Change::Joined);
-            joined.or_else(|| founder(&entry).map(Change::Founded))
+            joined.or_else(|| members::closed_founder(&entry.key).map(Change::Closed))
         }
         Event::Delete(key) => {
             let vanished = registry::endpoint(&key).map(|id| Change::Vanished(id.into()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod settings;
 pub mod stewards;
 pub mod storage;
+pub mod terms;
 pub mod upstream;
 pub mod view;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -1,14 +1,16 @@
 //! Membership of the gateway daemons.
 //!
 //! Each daemon keeps a key under a lease in the key-value service. The owner of a program's budget is
-//! the member with the highest hash of the pair; a member that cannot be reached is passed over for
-//! a while, so the next one in that order takes its place.
+//! its founder (see [`sched::term`]), and else the member with the highest hash of the pair; a member
+//! that cannot be reached is passed over for a while, so the next one in that order takes its place.
 
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
 use peer::gateway::Member;
+use platform::kv::Entry;
 use sched::id::VmId;
 use sched::members;
+use sched::term::{Incarnation, Roll, Terms};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,12 +18,10 @@
 ///
 /// It shares its first letter with the endpoints' registrations, so one watch covers both.
 pub const PREFIX: &str = "scheduler/member/";
-/// Prefix of the keys of the daemons that were there before any program began.
-pub const FOUNDERS: &str = "scheduler/founder/";
-/// Value of a founder's key until it has closed its books.
-pub const OPEN: &[u8] = b"open";
-/// Value of a founder's key after it has closed its books.
-pub const CLOSED: &[u8] = b"closed";
+/// Key of the founders' terms.
+pub const TERMS: &str = "scheduler/terms";
+/// Prefix of the keys of the founders that have closed their books.
+pub const CLOSED: &str = "scheduler/closed/";
 /// Prefix of the programs' durable budget records.
 pub const RECORDS: &str = "budget/";
 /// Time for which a member that could not be reached is passed over.
@@ -32,9 +32,25 @@
     format_compact!("{PREFIX}{vm}")
 }
 
-/// Key of a founder.
-pub fn founder_key(vm: &str) -> CompactString {
-    format_compact!("{FOUNDERS}{vm}")
+/// Key of a founder that has closed its books.
+pub fn closed_key(incarnation: Incarnation) -> CompactString {
+    format_compact!("{CLOSED}{incarnation:x}")
+}
+
+/// The founder that has closed its books, by its key.
+pub fn closed_founder(key: &str) -> Option<Incarnation> {
+    Incarnation::from_str_radix(key.strip_prefix(CLOSED)?, 16).ok()
+}
+
+/// Reads the founders' terms; what cannot be read counts as none, with a log line.
+pub fn terms(entry: &Entry) -> Option<Terms> {
+    match serde_json::from_slice(&entry.value) {
+        Ok(terms) => Some(terms),
+        Err(error) => {
+            log::error!(target: "budget", "the founders' terms cannot be read: {error}");
+            None
+        }
+    }
 }
 
 /// Key of a program's durable budget record.
@@ -107,14 +123,22 @@
     }
 }
 
-/// The owner of `program` among `live`.
+/// The owner of `program` among `live`: its founder, which needs no record, or else the first in the
+/// program's order.
 pub fn owner<'a>(
     program: &str,
+    roll: &Roll,
     live: &'a IndexMap<VmId, Member>,
     suspects: &Suspects,
     now: Instant,
 ) -> Option<&'a Member> {
-    first(program, live.values().filter(|member| !suspects.contains(&member.vm, now)))
+    let heard = |member: &&Member| !suspects.contains(&member.vm, now);
+    let founder = roll.founder(program).filter(|founder| !roll.is_closed(founder));
+    let founder = founder.and_then(|founder| {
+        let member = live.get(&founder.vm)?;
+        (member.incarnation == founder.incarnation).then_some(member)
+    });
+    founder.filter(heard).or_else(|| first(program, live.values().filter(heard)))
 }
 
 /// The first of some members in a program's order.
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -7,11 +7,11 @@
 
 use crate::desk::Desk;
 use crate::members;
-use peer::gateway::{Answer, Ask, Drawn, Founder, Member, Settlement};
+use peer::gateway::{Answer, Ask, Drawn, Member, Settlement};
 use peer::wire::{self, Request};
-use platform::kv::Error;
-use sched::id::{ProgramId, Tokens, VmId};
+use sched::id::{ProgramId, VmId};
 use sched::spend::{self, Draw, Legacy, Record, Verdict};
+use sched::term::{Founder, Origin, Roll, Silent};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -30,15 +30,6 @@
 /// Bound of a draw through another daemon.
 const DRAW_TIMEOUT: Duration = Duration::from_millis(650);
 
-/// Where a program comes from.
-#[derive(Clone, Copy, Debug)]
-struct Origin {
-    /// Whether this daemon is its founder.
-    own: bool,
-    /// Tokens that may have been handed out where no record exists.
-    unrecorded: Tokens,
-}
-
 impl Desk {
     /// Decides as the owner; `None` when the durable record cannot be reached.
     pub async fn decide(self: &Arc<Self>, ask: &spend::Ask) -> Option<bool> {
@@ -60,53 +51,57 @@
     }
 
     fn reserve_as(&self, ask: &spend::Ask, origin: Origin) -> Verdict {
-        self.ledger().reserve(ask, origin.own, origin.unrecorded, Instant::now())
+        self.ledger().reserve(ask, origin, Instant::now())
     }
 
     /// Finds out where the ask's program comes from; takes it over from who knows it.
     async fn origin(&self, ask: &spend::Ask) -> Origin {
+        let origin = |silent: &[Silent]| {
+            let limit = spend::limit(ask);
+            self.view.with_roll(|roll| roll.origin(&ask.program, limit, self.incarnation, silent))
+        };
+        let found = origin(&[]);
+        // Were it given away meanwhile, it would not come back as a new one.
+        let known = Origin { free: 0, ..found };
         if self.ledger().knows(&ask.program) {
-            // Its account tells; were it given away meanwhile, nothing is assumed to be recorded.
-            return Origin { own: false, unrecorded: spend::free(ask) };
+            return known;
         }
-        let founder = self.view.founder(&ask.program);
-        let own = founder.as_ref().is_some_and(|founder| founder.vm == self.settings.vm);
-        // A founder that has closed its books has recorded all that was handed out.
-        let open = founder.filter(|founder| !founder.closed);
-        let unrecorded = open.as_ref().map_or(0, |_| spend::free(ask));
-        let origin = Origin { own, unrecorded };
-        if self.ledger().founds(&ask.program, own) {
-            return origin;
+        if self.ledger().founds(&ask.program, found) {
+            return found;
         }
         let stripe = members::stripe(&ask.program, self.takeovers.len());
         let _held = self.takeovers[stripe].lock().await;
         if self.ledger().knows(&ask.program) {
-            return origin;
+            return known;
         }
-        let mut renounced = false;
-        for former in self.formers(&ask.program, open) {
+        let founder = self.view.with_roll(|roll| roll.founder(&ask.program).cloned());
+        let mut renounced = Vec::new();
+        for former in self.formers(&ask.program, founder.as_ref()) {
             match self.inherit_from(&former, &ask.program).await {
                 Legacy::Account(inheritance) => {
-                    self.ledger().inherit(ask.program.clone(), *inheritance, Instant::now());
-                    return origin;
+                    let (program, now) = (ask.program.clone(), Instant::now());
+                    self.ledger().inherit(program, *inheritance, found.term, now);
+                    return known;
                 }
-                Legacy::Renounced => renounced = true,
-                Legacy::Nothing => {}
+                // One that is the founder in its own view only speaks of another term.
+                Legacy::Renounced if founder.as_ref() == Some(&process(&former)) => {
+                    renounced.push(Silent { founder: former.incarnation, after: 0 });
+                }
+                Legacy::Renounced | Legacy::Nothing => {}
             }
         }
-        match renounced {
-            true => Origin { unrecorded: 0, ..origin },
-            false => origin,
-        }
+        Origin { free: 0, ..origin(&renounced) }
     }
 
     /// Members that may have owned a program: its founder, those that left and came before this one in
     /// the program's order, and the one that comes next.
-    fn formers(&self, program: &str, founder: Option<Founder>) -> Vec<Member> {
+    fn formers(&self, program: &str, founder: Option<&Founder>) -> Vec<Member> {
         let me = &self.settings.vm;
         let lost = self.view.lost_before(program, me, EXIT_WITHIN, Instant::now());
         let (founder, next) = self.view.with_members(|live| {
-            let founder = founder.and_then(|founder| live.get(&founder.vm).cloned());
+            let founder = founder.and_then(|founder| {
+                live.get(&founder.vm).filter(|member| process(member) == *founder).cloned()
+            });
             (founder, members::successor(program, live, me).cloned())
         });
         let mut formers: Vec<Member> = Vec::new();
@@ -136,46 +131,23 @@
 
     /// Gives a program away to the owner that asks for it.
     pub fn give(&self, program: &str) -> Legacy {
-        let founder = self.view.founder(program);
-        let own = founder.is_some_and(|founder| founder.vm == self.settings.vm);
+        let own = self.view.with_roll(|roll| {
+            roll.founder(program).is_some_and(|founder| founder.incarnation == self.incarnation)
+        });
         self.ledger().give(program, own, Instant::now())
     }
 
-    /// Becomes a founder; `None` when that is not known to be durable.
-    pub async fn found(&self) -> Option<()> {
-        self.records.found(&self.settings.vm).await.ok()?;
-        self.ledger().found();
-        Some(())
-    }
-
-    /// Records what programs have spent of their free shares, when this daemon stops.
-    ///
-    /// A founder then closes its books, so that nobody has to take its programs' free shares for spent.
-    /// A later process on a founder's VM does not know what that one had spent, and leaves them open.
+    /// Closes the books when this daemon stops, so that nobody has to take the shares that it could
+    /// have handed out for spent.
     pub async fn close(&self) {
-        let (founder, records) = {
-            let mut ledger = self.ledger();
-            (ledger.is_founder(), ledger.close(unix_ms()))
-        };
-        let count = records.len();
-        match self.close_books(founder, &records).await {
-            Ok(()) => log::info!(target: "budget", count, founder; "the books are closed"),
+        let books = self.ledger().close();
+        let count = books.len();
+        match self.records.close(self.incarnation, &books, unix_ms()).await {
+            Ok(()) => log::info!(target: "budget", count; "the books are closed"),
             Err(error) => log::info!(target: "budget", count; "the books stay open: {error}"),
         }
     }
 
-    async fn close_books(
-        &self,
-        founder: bool,
-        records: &[(ProgramId, Record)],
-    ) -> Result<(), Error> {
-        self.records.create(records).await?;
-        match founder {
-            true => self.records.close(&self.settings.vm).await,
-            false => Ok(()),
-        }
-    }
-
     /// Records that a program's budget is spent, so that no later owner lets it go on.
     async fn stop(self: &Arc<Self>, ask: &spend::Ask) {
         if let Some(standing) = self.ledger().explain(&ask.program) {
@@ -191,10 +163,12 @@
                 "the program is stopped"
             );
         }
-        let record = spend::closed(ask, unix_ms());
-        let since = Instant::now();
+        let (since, kept_from) = (Instant::now(), unix_ms());
+        let stopped = |found: Option<Record>, roll: &Roll| {
+            Some(spend::stopped(ask, found.as_ref(), roll, kept_from))
+        };
         while since.elapsed() < ask.retention {
-            match self.records.update(&ask.program, |_| Some(record.clone())).await {
+            match self.records.update(&ask.program, stopped).await {
                 Ok(_) => return,
                 Err(error) => log::info!(
                     target: "budget", program = ask.program.as_str();
@@ -231,14 +205,28 @@
     /// Draws from the program's durable record for the process `owner`.
     pub async fn draw(&self, ask: &spend::Ask, owner: &VmId, draw: Draw) -> Drawn {
         let taken = AtomicU64::new(0);
-        let drawn = self.records.update(&ask.program, |found| {
-            let (record, tokens) = spend::drawn(ask, owner, found, draw, unix_ms())?;
+        let drawn = self.records.update(&ask.program, |found, roll| {
+            let (record, tokens) = spend::drawn(ask, owner, found, draw, roll, unix_ms())?;
             taken.store(tokens, Ordering::Relaxed);
             Some(record)
         });
         match drawn.await {
             Ok(true) => Drawn::Tokens(taken.into_inner()),
-            Ok(false) => Drawn::Exhausted,
+            Ok(false) => {
+                let record = self.records.last(&ask.program).unwrap_or_default();
+                log::info!(
+                    target: "budget",
+                    program = ask.program.as_str(),
+                    request = ask.request.as_str(),
+                    limit = spend::limit(ask),
+                    needed = draw.needed,
+                    drawn = record.drawn,
+                    record_term = record.term,
+                    term = self.view.with_roll(|roll| roll.terms.number());
+                    "the record leaves too little"
+                );
+                Drawn::Exhausted
+            }
             Err(error) => {
                 log::info!(
                     target: "budget", program = ask.program.as_str();
@@ -287,7 +275,12 @@
     }
 }
 
+/// The process behind a member key.
+fn process(member: &Member) -> Founder {
+    Founder { vm: member.vm.clone(), incarnation: member.incarnation }
+}
+
 /// Milliseconds since the Unix epoch.
-fn unix_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -3,13 +3,18 @@
 //! An owner writes a record as the follower of what it knows of it, without reading it first; where
 //! another owner wrote meanwhile, the write conflicts and the record is read. A draw therefore costs
 //! one call in the usual case.
+//!
+//! Every write is guarded by the key of the founders' terms, because a record has to count the shares of
+//! all terms (see [`sched::term`]). Where that key changed meanwhile, it is read too.
 
 use crate::members;
+use crate::view::View;
 use indexmap::IndexMap;
 use platform::kv::{self, Client, Entry, Error, Revision, Swap};
 use sched::id::ProgramId;
-use sched::spend::Record;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use sched::spend::{Books, Record};
+use sched::term::{Incarnation, Roll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
@@ -23,6 +28,8 @@
 const MAX_TRIES: u32 = 4;
 /// Records whose revisions are kept; the oldest are dropped first.
 const MAX_KNOWN: usize = 10_000;
+/// Records that are written at once; the guard of the terms takes the room of one.
+const MAX_CREATED: usize = kv::MAX_SWAPS - 1;
 
 #[derive(Clone, Debug, Default)]
 struct Known {
@@ -33,6 +40,7 @@
 /// Records that this daemon has written or read.
 pub struct Records {
     kv: Client,
+    view: Arc<View>,
     /// Until when the service is not called, after it did not answer.
     rests_until: Mutex<Option<Instant>>,
     known: Mutex<IndexMap<ProgramId, Known>>,
@@ -40,8 +48,8 @@
 
 impl Records {
     /// Prepares updates through `kv`.
-    pub fn new(kv: Client) -> Self {
-        Self { kv, rests_until: Mutex::default(), known: Mutex::default() }
+    pub fn new(kv: Client, view: Arc<View>) -> Self {
+        Self { kv, view, rests_until: Mutex::default(), known: Mutex::default() }
     }
 
     fn known(&self) -> MutexGuard<'_, IndexMap<ProgramId, Known>> {
@@ -80,13 +88,15 @@
     pub async fn update(
         &self,
         program: &str,
-        change: impl Fn(Option<Record>) -> Option<Record>,
+        change: impl Fn(Option<Record>, &Roll) -> Option<Record>,
     ) -> Result<bool, Error> {
         let key = members::record_key(program);
         let mut known = self.known().get(program).cloned().unwrap_or_default();
         let mut read = false;
         for _ in 0..MAX_TRIES {
-            let Some(record) = change(known.record.clone()) else {
+            let (record, terms) =
+                self.view.with_roll(|roll| (change(known.record.clone(), roll), roll.revision));
+            let Some(record) = record else {
                 if read {
                     return Ok(false);
                 }
@@ -97,70 +107,107 @@
             if known.record.as_ref() == Some(&record) {
                 return Ok(true);
             }
-            let value = encode(&record)?;
-            let swap = self.bounded(self.kv.swap(&key, &value, known.revision, None)).await?;
+            let writes = [(key.clone(), encode(&record)?, known.revision)];
+            let guard = [(members::TERMS, terms)];
+            let swap = self.bounded(self.kv.swap_all(&writes, &guard)).await?;
             if let Swap::Done(revision) = swap {
                 self.keep(program, Known { revision, record: Some(record) });
                 return Ok(true);
             }
+            let before = known.revision;
             known = self.fetch(program).await?;
+            if known.revision == before {
+                self.fetch_terms().await?;
+            }
             read = true;
         }
         Err(Error::Refused("other owners change the record too".to_owned()))
     }
 
-    /// Writes the key of a founder.
+    /// Writes the books of the founder `me`, and that they are closed.
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] when it is not known to be written.
-    pub async fn found(&self, vm: &str) -> Result<(), Error> {
-        match self.bounded(self.kv.create(&members::founder_key(vm), members::OPEN, None)).await? {
-            Swap::Done(_) => Ok(()),
-            Swap::Conflict => Err(Error::Refused("an earlier process is the founder".to_owned())),
+    /// Returns an [`Error`] when that is not known to be written.
+    pub async fn close(
+        &self,
+        me: Incarnation,
+        books: &[(ProgramId, Books)],
+        now_ms: u64,
+    ) -> Result<(), Error> {
+        let chunks = books.chunks(MAX_CREATED).map(|chunk| self.write_books(me, chunk, now_ms));
+        futures::future::try_join_all(chunks).await?;
+        if !self.view.with_roll(|roll| roll.terms.founders().contains(&me)) {
+            return Ok(());
         }
+        // Where the key exists already, an earlier try wrote it.
+        self.bounded(self.kv.create(&members::closed_key(me), b"", None)).await.map(drop)
     }
 
-    /// Writes that a founder's books are closed.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] when that is not known to be written.
-    pub async fn close(&self, vm: &str) -> Result<(), Error> {
-        let key = members::founder_key(vm);
-        let found = self.bounded(self.kv.get(&key)).await?;
-        let revision = found.map_or(0, |found| found.revision);
-        match self.bounded(self.kv.swap(&key, members::CLOSED, revision, None)).await? {
-            Swap::Done(_) => Ok(()),
-            Swap::Conflict => Err(Error::Refused("the founder's key changed".to_owned())),
+    /// Writes books at once, or one by one where some programs have a record already.
+    async fn write_books(
+        &self,
+        me: Incarnation,
+        books: &[(ProgramId, Books)],
+        now_ms: u64,
+    ) -> Result<(), Error> {
+        let (records, terms) = self.view.with_roll(|roll| {
+            let records = books.iter().filter_map(|(program, books)| {
+                Some((program, books.record(program, None, roll, me, now_ms)?))
+            });
+            (records.collect::<Vec<_>>(), roll.revision)
+        });
+        let mut writes = Vec::new();
+        for (program, record) in &records {
+            writes.push((members::record_key(program), encode(record)?, 0));
         }
+        let guard = [(members::TERMS, terms)];
+        if let Swap::Done(_) = self.bounded(self.kv.swap_all(&writes, &guard)).await? {
+            return Ok(());
+        }
+        for (program, books) in books {
+            let merged = |found: Option<Record>, roll: &Roll| {
+                books.record(program, found.as_ref(), roll, me, now_ms).or(found)
+            };
+            self.update(program, merged).await?;
+        }
+        Ok(())
     }
 
-    /// Writes the records of programs that have none.
+    /// All records.
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] when that is not known to be written.
-    pub async fn create(&self, records: &[(ProgramId, Record)]) -> Result<(), Error> {
-        let chunks = records.chunks(kv::MAX_SWAPS).map(|chunk| self.create_all(chunk));
-        futures::future::try_join_all(chunks).await.map(drop)
+    /// Returns an [`Error`] when the service is out of reach.
+    pub async fn all(&self) -> Result<Vec<(ProgramId, Record)>, Error> {
+        let listing = self.kv.list(members::RECORDS, "").await?;
+        let records = listing.entries.iter().filter_map(|entry| {
+            let program = entry.key.strip_prefix(members::RECORDS)?;
+            Some((program.into(), serde_json::from_slice(&entry.value).ok()?))
+        });
+        Ok(records.collect())
     }
 
-    /// Writes records at once, or one by one where some exist already.
-    async fn create_all(&self, records: &[(ProgramId, Record)]) -> Result<(), Error> {
-        let mut writes = Vec::new();
-        for (program, record) in records {
-            writes.push((members::record_key(program), encode(record)?, 0));
-        }
-        if let Swap::Done(_) = self.bounded(self.kv.swap_all(&writes)).await? {
-            return Ok(());
-        }
-        for (program, record) in records {
-            self.update(program, |found| found.or(Some(record.clone()))).await?;
+    /// Reads the founders' terms, which changed since this daemon heard of them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the service is out of reach.
+    pub async fn fetch_terms(&self) -> Result<(), Error> {
+        let found = self.bounded(self.kv.get(members::TERMS)).await?;
+        if let Some((terms, revision)) =
+            found.as_ref().and_then(|entry| Some((members::terms(entry)?, entry.revision)))
+        {
+            self.view.learn_terms(terms, revision);
         }
         Ok(())
     }
 
+    /// The record of a program as it was written or read last.
+    pub fn last(&self, program: &str) -> Option<Record> {
+        self.known().get(program)?.record.clone()
+    }
+
     async fn fetch(&self, program: &str) -> Result<Known, Error> {
         let known = match self.bounded(self.kv.get(&members::record_key(program))).await? {
             Some(entry) => Known {
--- /dev/null
+++ b/crates/gateway/src/terms.rs
@@ -0,0 +1,93 @@
+//! Opens the founders' terms.
+//!
+//! The rules are those of [`sched::term`]. The first delegate carries them out; another one does when
+//! the first has not for a while, so nobody has to agree on who it is: a write that another one
+//! overtook does not take effect.
+
+use crate::desk::Desk;
+use crate::members;
+use crate::owner::unix_ms;
+use indexmap::IndexSet;
+use platform::kv::{Client, Error, Swap};
+use sched::term::{Calm, Founder, Step, Terms, Watch};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// Interval of looks at the live daemons.
+const CHECK: Duration = Duration::from_millis(250);
+/// Time that each delegate leaves to the one before it.
+const TURN: Duration = Duration::from_secs(2);
+
+/// Opens terms while this daemon is a delegate.
+pub async fn keep(desk: Arc<Desk>, kv: Client) {
+    let mut watch = Watch::new(Instant::now());
+    loop {
+        sleep(CHECK).await;
+        let mut live = desk.view.processes();
+        live.sort_by(|left, right| left.vm.cmp(&right.vm));
+        let due = desk.view.with_roll(|roll| roll.is_due(&live));
+        let calm = watch.note(&live, due, Instant::now());
+        let Some(rank) = rank(&desk) else {
+            continue;
+        };
+        if let Err(error) = advance(&desk, &kv, &live, calm.after(TURN * rank)).await {
+            log::info!(target: "budget", "the founders' term is not opened yet: {error}");
+        }
+    }
+}
+
+/// Place of this daemon among the delegates.
+fn rank(desk: &Desk) -> Option<u32> {
+    let delegates = desk.view.with_members(members::delegates);
+    let own = desk.settings.public_addr();
+    delegates.iter().position(|addr| *addr == own).map(|rank| rank as u32)
+}
+
+/// Carries out the steps to the next term that are due.
+async fn advance(desk: &Desk, kv: &Client, live: &[Founder], calm: Calm) -> Result<(), Error> {
+    // A term that this daemon announces it opens at once.
+    for _ in 0..2 {
+        take_step(desk, kv, live, calm).await?;
+    }
+    Ok(())
+}
+
+async fn take_step(desk: &Desk, kv: &Client, live: &[Founder], calm: Calm) -> Result<(), Error> {
+    let (step, revision) =
+        desk.view.with_roll(|roll| (roll.step(live, calm, unix_ms()), roll.revision));
+    let terms = match step {
+        Step::Wait => return Ok(()),
+        Step::Announce(terms) => terms,
+        Step::Open => {
+            let records = desk.records.all().await?;
+            desk.view.with_roll(|roll| roll.terms.opened(&records))
+        }
+    };
+    let value = serde_json::to_vec(&terms).map_err(|error| Error::Malformed(error.to_string()))?;
+    match kv.swap(members::TERMS, &value, revision, None).await? {
+        Swap::Done(revision) => {
+            desk.view.learn_terms(terms, revision);
+            forget_closed(desk, kv).await
+        }
+        Swap::Conflict => desk.records.fetch_terms().await,
+    }
+}
+
+/// Deletes the keys of closed founders that no term names any more.
+async fn forget_closed(desk: &Desk, kv: &Client) -> Result<(), Error> {
+    let (terms, closed): (Terms, IndexSet<_>) =
+        desk.view.with_roll(|roll| (roll.terms.clone(), roll.closed.clone()));
+    let named = terms.founders();
+    let keys: Vec<_> = closed
+        .iter()
+        .filter(|founder| !named.contains(*founder))
+        .map(|founder| members::closed_key(*founder))
+        .collect();
+    if keys.is_empty() {
+        return Ok(());
+    }
+    kv.delete_all(&keys.iter().map(|key| key.as_str()).collect::<Vec<_>>()).await?;
+    desk.view.forget_closed(&named);
+    Ok(())
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,11 +5,12 @@
 //! came.
 
 use indexmap::{IndexMap, IndexSet};
-use peer::gateway::{Change, Changes, Founder, Member, View as Exported};
+use peer::gateway::{Change, Changes, Member, View as Exported};
 use sched::fleet::{Fleet, Registration};
 use sched::id::{EndpointId, VmId};
 use sched::members::weight;
 use sched::route::Table;
+use sched::term::{Founder, Incarnation, Roll, Terms};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -25,7 +26,7 @@
     table: Option<Arc<Table>>,
     fleet: Fleet,
     members: IndexMap<VmId, Member>,
-    founders: IndexMap<VmId, Founder>,
+    roll: Roll,
     revision: u64,
     /// The last changes, and the number of all before them.
     kept: VecDeque<Change>,
@@ -49,6 +50,20 @@
         }
     }
 
+    /// Takes in terms unless they are older than the present ones.
+    fn learn_terms(&mut self, terms: Terms, revision: u64) -> bool {
+        let newer = revision > self.roll.revision;
+        if newer {
+            let (term, open) = (terms.number(), terms.is_open());
+            log::info!(target: "budget", term, open, revision; "the founders' terms changed");
+            let in_force = if open { term } else { term.saturating_sub(1) };
+            metrics::gauge!("founders_term").set(f64::from(in_force));
+            self.roll.terms = terms;
+            self.roll.revision = revision;
+        }
+        newer
+    }
+
     /// Number of the next change.
     fn next(&self) -> u64 {
         self.dropped + self.kept.len() as u64
@@ -104,11 +119,35 @@
         decide(&self.lock().members)
     }
 
-    /// The founder of a program: the daemon with the highest hash among those that were there before
-    /// any program began.
-    pub fn founder(&self, program: &str) -> Option<Founder> {
+    /// Runs a decision on the founders' terms.
+    pub fn with_roll<R>(&self, decide: impl FnOnce(&Roll) -> R) -> R {
+        decide(&self.lock().roll)
+    }
+
+    /// Runs a decision on the founders' terms and the live daemons.
+    pub fn with_daemons<R>(&self, decide: impl FnOnce(&Roll, &IndexMap<VmId, Member>) -> R) -> R {
+        let state = self.lock();
+        decide(&state.roll, &state.members)
+    }
+
+    /// Processes of the live daemons.
+    pub fn processes(&self) -> Vec<Founder> {
         let state = self.lock();
-        state.founders.values().max_by_key(|founder| weight(&program, &founder.vm)).cloned()
+        let live = state.members.values();
+        live.map(|live| Founder { vm: live.vm.clone(), incarnation: live.incarnation }).collect()
+    }
+
+    /// Takes in the founders' terms as they were written at `revision`.
+    pub fn learn_terms(&self, terms: Terms, revision: u64) {
+        let learned = self.lock().learn_terms(terms, revision);
+        if learned {
+            self.notify();
+        }
+    }
+
+    /// Drops closed founders that are not among `named`.
+    pub fn forget_closed(&self, named: &IndexSet<Incarnation>) {
+        self.lock().roll.closed.retain(|founder| named.contains(founder));
     }
 
     /// Daemons that left within `span` and came before `me` in a program's order of owners; the one
@@ -186,7 +225,7 @@
         &self,
         registrations: Vec<Registration>,
         members: Vec<Member>,
-        founders: Vec<Founder>,
+        roll: Roll,
         revision: u64,
         now: Instant,
     ) {
@@ -198,9 +237,8 @@
                 state.fleet.register(registration);
             }
             state.fleet.retain(&present, now);
-            for founder in founders {
-                state.founders.insert(founder.vm.clone(), founder);
-            }
+            state.learn_terms(roll.terms, roll.revision);
+            state.roll.closed.extend(roll.closed);
             state.left.retain(|_, (_, at)| now.duration_since(*at) <= REMEMBERED);
             let members: IndexMap<VmId, Member> =
                 members.into_iter().map(|member| (member.vm.clone(), member)).collect();
@@ -226,7 +264,7 @@
         if view.revision <= self.revision() {
             return false;
         }
-        self.replace(view.registrations, view.members, view.founders, view.revision, now);
+        self.replace(view.registrations, view.members, view.roll, view.revision, now);
         true
     }
 
@@ -258,7 +296,7 @@
                 table,
                 registrations: state.fleet.registrations(),
                 members: state.members.values().cloned().collect(),
-                founders: state.founders.values().cloned().collect(),
+                roll: state.roll.clone(),
                 revision,
             }),
         }
@@ -282,9 +320,8 @@
         Change::Joined(member) => {
             state.members.insert(member.vm.clone(), member);
         }
-        Change::Founded(founder) => {
-            state.founders.insert(founder.vm.clone(), founder);
-        }
+        Change::Terms(terms, revision) => drop(state.learn_terms(terms, revision)),
+        Change::Closed(founder) => drop(state.roll.closed.insert(founder)),
         Change::Left(vm) => {
             if let Some(known) = state.members.swap_remove(&vm) {
                 state.left.insert(vm, (known, now));
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -6,6 +6,7 @@
 use sched::route::Table;
 use sched::spend;
 use sched::steward;
+use sched::term::{Incarnation, Roll, Terms};
 use serde::{Deserialize, Serialize};
 
 /// A live gateway daemon.
@@ -34,17 +35,10 @@
     Joined(Member),
     /// A daemon is gone.
     Left(VmId),
-    /// A daemon was there before any program began, and has closed its books or not.
-    Founded(Founder),
-}
-
-/// A daemon whose first process was there before any program began.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Founder {
-    /// Its VM.
-    pub vm: VmId,
-    /// Whether what its programs have spent is recorded.
-    pub closed: bool,
+    /// The founders' terms changed, at this revision.
+    Terms(Terms, u64),
+    /// A founder has closed its books.
+    Closed(Incarnation),
 }
 
 /// What changed since the frame before.
@@ -67,8 +61,8 @@
     pub registrations: Vec<Registration>,
     /// Live daemons.
     pub members: Vec<Member>,
-    /// Daemons that were there before any program began.
-    pub founders: Vec<Founder>,
+    /// The founders' terms.
+    pub roll: Roll,
     /// Revision of the key-value service up to which this holds.
     pub revision: u64,
 }
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -6,6 +6,7 @@
 use sched::members;
 use sched::request::Part;
 use sched::spend::{self, Ledger};
+use sched::term::Origin;
 use sched::steward::{self, Board, End};
 use std::time::{Duration, Instant};
 
@@ -75,6 +76,9 @@
     group.finish();
 }
 
+/// Where programs come from that the owner founds.
+const ORIGIN: Origin = Origin { me: 1, term: 1, free: 1_700, unrecorded: 1_700 };
+
 fn turn(program: u64) -> spend::Ask {
     spend::Ask {
         program: format!("program-{program}").into(),
@@ -91,16 +95,15 @@
     let mut group = criterion.benchmark_group("spend_reserve_and_settle");
     for count in PROGRAMS {
         let mut ledger = Ledger::default();
-        ledger.found();
         let now = Instant::now();
         for program in 0..count {
-            ledger.reserve(&turn(program), true, 0, now);
+            ledger.reserve(&turn(program), ORIGIN, now);
             ledger.settle(&format!("program-{program}"), "request", "daemon", 0);
         }
         let ask = turn(count / 2);
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
-                let verdict = ledger.reserve(&ask, true, 0, now);
+                let verdict = ledger.reserve(&ask, ORIGIN, now);
                 ledger.settle(&ask.program, &ask.request, &ask.daemon, 0);
                 verdict
             });
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,7 +7,8 @@
 //! * [`config`] is the operators' configuration, replayed from its numbered changes;
 //! * [`grant`] is the account ledger that several logs draw from;
 //! * [`queue`], [`place`], [`predict`] and [`health`] choose which call runs next, and where;
-//! * [`route`], [`request`], [`fleet`], [`prefix`], [`steward`], [`retry`] and [`spend`] serve requests that are routed by host and path;
+//! * [`route`], [`request`], [`fleet`], [`prefix`], [`steward`], [`retry`], [`spend`]
+//!   and [`term`] serve requests that are routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons.
 
 pub mod attempt;
@@ -31,3 +32,4 @@
 pub mod route;
 pub mod spend;
 pub mod steward;
+pub mod term;
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -5,43 +5,41 @@
 //! really handed out. Daemons are lost, and views differ, so several owners may decide on one program
 //! at the same time, none knowing of the others. What keeps the budget then is the durable record:
 //!
-//! * each program has one founder among the daemons that were there before any program began; only
-//!   the founder's first process may hand out a free share of the budget without a record, so most
-//!   programs cost no write;
+//! * each program has one founder in each term (see [`crate::term`]), a process that alone may hand
+//!   out the term's share of the budget without a record, so most programs cost no write;
 //! * whatever else an owner lets run it has drawn from the record before, by compare-and-swap; the
-//!   record starts with the free share as drawn, whether it was spent or not;
+//!   record starts with the shares of all terms as drawn, whether they were spent or not;
 //! * a founder that stops closes its books: it records what its programs have spent, and from then on
-//!   a program without a record has spent nothing; the same holds for a program that its founder
-//!   renounces;
+//!   its shares of programs without a record count as not spent; the same holds for a program that
+//!   its founder renounces;
 //! * an owner counts what it lets run at its most until that is settled.
 //!
-//! So the free share and all draws together bound what is handed out, whoever owned the program and
+//! So the shares and all draws together bound what is handed out, whoever owned the program and
 //! however often it was lost. They may exceed the budget by one turn's most, of which only an owner
 //! that took over makes use.
 //!
 //! Every reservation repeats what the serving daemon has handed out to the program in all. What a
 //! daemon had handed out before it first asked an owner was let run by another one, and is paid for by
-//! the free share or by that one's draws.
+//! a founder's share or by that one's draws.
 //!
 //! An owner that does not know a program asks the member that owned it before, or stood in, and takes
 //! over all that it knows.
 
 use crate::id::{ProgramId, RequestId, Tokens, VmId};
+use crate::term::{self, Incarnation, Origin, Roll, Silent};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
-/// Part of all that may be handed out to a program which its founder lets run without a durable
-/// record.
-///
-/// Programs that end by themselves rarely need more, whether their founder is lost or not.
-const FREE_SHARE: f64 = 0.4;
 /// Time for which a program that was given away is remembered.
 const GIVEN_LIFE: Duration = Duration::from_secs(120);
 /// Part of what a record leaves that one draw takes, unless more is needed.
 ///
 /// The rest is for an owner that takes over and cannot know what was not spent.
 const DRAW_SHARE: f64 = 0.5;
+/// Largest part of all that may be handed out to a program which one draw takes, unless more is
+/// needed.
+const USUAL_SHARE: f64 = 0.4;
 /// Time after which a reservation that was never settled is charged in full; its daemon is gone.
 const RESERVATION_LIFE: Duration = Duration::from_secs(15);
 
@@ -50,8 +48,14 @@
 pub struct Record {
     /// The program's budget.
     pub budget: Tokens,
-    /// Tokens drawn by all owners, the free share included.
+    /// Most tokens of one of its turns.
+    #[serde(default)]
+    pub most: Tokens,
+    /// Tokens drawn by all owners, the shares of founders included.
     pub drawn: Tokens,
+    /// The last term whose share is included.
+    #[serde(default)]
+    pub term: term::Number,
     /// Time after which the record may be deleted, in milliseconds since the Unix epoch.
     pub keep_until_ms: u64,
     /// The last draw, by which its owner finds that it took effect although its answer was lost.
@@ -109,8 +113,12 @@
     pub needed: Tokens,
     /// The owner's number of this draw; it stays the same until the outcome is known.
     pub number: u32,
-    /// Tokens that may have been handed out where no record exists.
+    /// Tokens that may have been handed out where no record exists, up to the term `term`.
     pub unrecorded: Tokens,
+    /// The last term that `unrecorded` covers.
+    pub term: term::Number,
+    /// The owner's process, and since when it knows the program; so it founds it in no later term.
+    pub silent: Silent,
 }
 
 /// What an owner knows of a program.
@@ -130,10 +138,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Holding {
     budget: Tokens,
-    /// Tokens that may have been handed out where no record exists.
+    /// Most tokens of one of its turns.
+    most: Tokens,
+    /// Tokens that may have been handed out where no record exists, up to the term `term`.
     unrecorded: Tokens,
-    /// Whether a part of the free share is held here that no record covers.
-    free: bool,
+    /// The founder's share that is held here and that no record covers.
+    free: Tokens,
+    /// The last term that `unrecorded` covers.
+    term: term::Number,
     /// Tokens handed out by each daemon's process.
     handed_out: IndexMap<VmId, Tokens>,
     /// Most tokens of turns whose daemons are gone.
@@ -146,14 +158,51 @@
 }
 
 impl Holding {
-    /// The record of what may have been handed out without one, kept from `now_ms` on.
-    fn record(&self, now_ms: u64) -> Record {
-        Record {
+    /// What a founder's books say of the program, of whose share `spent` tokens may be spent.
+    fn books(&self, spent: Tokens) -> Books {
+        let Self { budget, most, term, retention, free, .. } = *self;
+        Books { budget, most, term, spent: spent.min(free), retention }
+    }
+}
+
+/// What a founder that closes its books has handed out to a program without a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Books {
+    budget: Tokens,
+    most: Tokens,
+    /// Term of the share.
+    term: term::Number,
+    /// Tokens of the share that are spent.
+    spent: Tokens,
+    retention: Duration,
+}
+
+impl Books {
+    /// The record that follows `found` when the founder `me` closes its books; `None` where `found`
+    /// counts the whole share already.
+    pub fn record(
+        &self,
+        program: &str,
+        found: Option<&Record>,
+        roll: &Roll,
+        me: Incarnation,
+        now_ms: u64,
+    ) -> Option<Record> {
+        let (drawn, after) = found.map_or((0, 0), |record| (record.drawn, record.term));
+        if found.is_some() && after >= self.term {
+            return None;
+        }
+        let limit = self.budget + self.most;
+        let silent = Silent { founder: me, after: 0 };
+        let others = roll.unrecorded(program, limit, after, &[silent]);
+        Some(Record {
             budget: self.budget,
-            drawn: self.unrecorded,
+            most: self.most,
+            drawn: drawn + others + self.spent,
+            term: roll.terms.number(),
             keep_until_ms: now_ms + self.retention.as_millis() as u64,
             last: None,
-        }
+        })
     }
 }
 
@@ -187,6 +236,8 @@
     reservations: IndexMap<RequestId, Reservation>,
     /// Number of the draw whose outcome is not known.
     drawing: Option<u32>,
+    /// The last term when this process came to know the program.
+    since: term::Number,
     used: Instant,
 }
 
@@ -226,14 +277,10 @@
 }
 
 /// Tokens that all owners together may let run.
-fn limit(ask: &Ask) -> Tokens {
+pub fn limit(ask: &Ask) -> Tokens {
     ask.budget + ask.most
 }
 
-/// Tokens that a program's founder lets run without a durable record.
-pub fn free(ask: &Ask) -> Tokens {
-    share(limit(ask), FREE_SHARE)
-}
 
 /// Computes the record that follows `found` when `owner` draws more for the ask's program, and the
 /// tokens drawn.
@@ -245,6 +292,7 @@
     owner: &VmId,
     found: Option<Record>,
     draw: Draw,
+    roll: &Roll,
     now_ms: u64,
 ) -> Option<(Record, Tokens)> {
     let done = found.as_ref().and_then(|record| record.last.as_ref());
@@ -254,24 +302,39 @@
     {
         return found.map(|record| (record, tokens));
     }
-    let before = found.map_or(draw.unrecorded, |record| record.drawn);
+    let (covered, term) =
+        found.map_or((draw.unrecorded, draw.term), |record| (record.drawn, record.term));
+    let before = covered + roll.unrecorded(&ask.program, limit(ask), term, &[draw.silent]);
     let left = limit(ask).saturating_sub(before);
     // As much as a founder has spares most programs a second draw.
-    let tokens = draw.needed.max(share(left, DRAW_SHARE).min(free(ask))).min(left);
+    let usual = share(left, DRAW_SHARE).min(share(limit(ask), USUAL_SHARE));
+    let tokens = draw.needed.max(usual).min(left);
     let done = Done { owner: owner.clone(), number: draw.number, tokens };
     let record = Record {
         budget: ask.budget,
+        most: ask.most,
         drawn: before + tokens,
+        term: roll.terms.number(),
         keep_until_ms: keep_until(ask, now_ms),
         last: Some(done),
     };
     (tokens >= draw.needed).then_some((record, tokens))
 }
 
-/// The record that lets no later owner draw for the ask's program.
-pub fn closed(ask: &Ask, now_ms: u64) -> Record {
-    let keep_until_ms = keep_until(ask, now_ms);
-    Record { budget: ask.budget, drawn: limit(ask), keep_until_ms, last: None }
+/// The record that follows `found` and lets no later owner draw for the ask's program.
+pub fn stopped(ask: &Ask, found: Option<&Record>, roll: &Roll, now_ms: u64) -> Record {
+    let covered = found.map_or(0, |record| {
+        // A share that does not fit has to show, so that a term that is announced bars the program.
+        record.drawn + roll.unrecorded(&ask.program, limit(ask), record.term, &[])
+    });
+    Record {
+        budget: ask.budget,
+        most: ask.most,
+        drawn: covered.max(limit(ask)),
+        term: roll.terms.number(),
+        keep_until_ms: keep_until(ask, now_ms),
+        last: None,
+    }
 }
 
 fn keep_until(ask: &Ask, now_ms: u64) -> u64 {
@@ -282,8 +345,8 @@
 #[derive(Clone, Debug)]
 struct Given {
     until: Instant,
-    /// What the other owner may have spent of the free share, as a record.
-    record: Option<Record>,
+    /// What the other owner may have spent of the founder's share.
+    books: Option<Books>,
 }
 
 /// Accounts of the programs that this daemon owns.
@@ -294,70 +357,55 @@
     given: IndexMap<ProgramId, Given>,
     /// Draws that were begun.
     draws: u32,
-    /// Whether this process was there before any program began and has not closed its books.
-    founder: bool,
+    /// Whether this process has closed its books.
+    closed: bool,
 }
 
 impl Ledger {
-    /// Notes that this process was there before any program began.
-    pub fn found(&mut self) {
-        self.founder = true;
-    }
-
-    /// Tells whether this process may spend free shares.
-    pub fn is_founder(&self) -> bool {
-        self.founder
-    }
-
     /// Closes the books: from now on nothing runs without a draw.
     ///
-    /// Returns the records of the programs that have spent a part of the free share.
-    pub fn close(&mut self, now_ms: u64) -> Vec<(ProgramId, Record)> {
-        self.founder = false;
-        let mut records = Vec::new();
+    /// Returns what programs have spent of the founder's shares.
+    pub fn close(&mut self) -> Vec<(ProgramId, Books)> {
+        self.closed = true;
+        let mut all = Vec::new();
         for (program, account) in
-            self.accounts.iter_mut().filter(|(_, account)| account.holding.free)
+            self.accounts.iter_mut().filter(|(_, account)| account.holding.free > 0)
         {
             let spent = account.known() + account.reserved();
-            account.holding.free = false;
-            account.holding.allowed = account.holding.allowed.min(spent);
-            account.holding.unrecorded = spent.min(account.holding.unrecorded);
-            records.push((program.clone(), account.holding.record(now_ms)));
+            let books = account.holding.books(spent);
+            let holding = &mut account.holding;
+            holding.allowed = holding.allowed.min(spent);
+            holding.unrecorded = holding.unrecorded - holding.free + books.spent;
+            holding.free = 0;
+            all.push((program.clone(), books));
         }
         for (program, given) in &mut self.given {
-            if let Some(record) = given.record.take() {
-                let keep_until_ms = now_ms + record.keep_until_ms;
-                records.push((program.clone(), Record { keep_until_ms, ..record }));
+            if let Some(books) = given.books.take() {
+                all.push((program.clone(), books));
             }
         }
-        records
+        all
     }
 
-    /// Decides on a turn.
-    ///
-    /// `founder` tells that this daemon is the program's founder. `unrecorded` is what may have been
-    /// handed out where no record exists.
-    pub fn reserve(
-        &mut self,
-        ask: &Ask,
-        founder: bool,
-        unrecorded: Tokens,
-        now: Instant,
-    ) -> Verdict {
-        let first = self.founds(&ask.program, founder);
+    /// Decides on a turn; `origin` tells where a program comes from that is not known.
+    pub fn reserve(&mut self, ask: &Ask, origin: Origin, now: Instant) -> Verdict {
+        let free = if self.founds(&ask.program, origin) { origin.free } else { 0 };
         let account = self.accounts.entry(ask.program.clone()).or_insert_with(|| Account {
             holding: Holding {
                 budget: ask.budget,
-                unrecorded: if first { free(ask) } else { unrecorded },
-                free: first,
+                most: ask.most,
+                unrecorded: origin.unrecorded,
+                free,
+                term: origin.term,
                 handed_out: IndexMap::new(),
                 lost: 0,
-                allowed: if first { free(ask) } else { 0 },
+                allowed: free,
                 stopped: false,
                 retention: ask.retention,
             },
             reservations: IndexMap::new(),
             drawing: None,
+            since: origin.term,
             used: now,
         });
         account.used = now;
@@ -377,19 +425,18 @@
                 self.draws += 1;
                 self.draws
             });
-            let unrecorded = account.holding.unrecorded;
-            return Verdict::Draw(Draw { needed, number, unrecorded });
+            let Holding { unrecorded, term, .. } = account.holding;
+            let silent = Silent { founder: origin.me, after: account.since };
+            return Verdict::Draw(Draw { needed, number, unrecorded, term, silent });
         }
         let reservation = Reservation { most: ask.most, since: now };
         account.reservations.insert(ask.request.clone(), reservation);
         Verdict::Granted
     }
 
-    /// Tells whether a program that is not known here can only be a new one.
-    ///
-    /// `founder` tells that this daemon is the program's founder.
-    pub fn founds(&self, program: &str, founder: bool) -> bool {
-        founder && self.founder && !self.given.contains_key(program)
+    /// Tells whether this process may hand out a founder's share to a program that is not known here.
+    pub fn founds(&self, program: &str, origin: Origin) -> bool {
+        origin.free > 0 && !self.closed && !self.given.contains_key(program)
     }
 
     /// Tells whether the owner knows a program already.
@@ -402,33 +449,44 @@
     /// `founder` tells that this daemon is the program's founder.
     pub fn give(&mut self, program: &str, founder: bool, now: Instant) -> Legacy {
         let Some(account) = self.accounts.swap_remove(program) else {
-            // Who got a part of the free share may be spending it.
-            let given = self.given.get(program).is_some_and(|given| given.record.is_some());
-            if founder && self.founder && !given {
-                let given = Given { until: now + GIVEN_LIFE, record: None };
+            // Who got a part of the share may be spending it.
+            let given = self.given.get(program).is_some_and(|given| given.books.is_some());
+            if founder && !self.closed && !given {
+                let given = Given { until: now + GIVEN_LIFE, books: None };
                 self.given.entry(program.into()).or_insert(given);
                 return Legacy::Renounced;
             }
             return Legacy::Nothing;
         };
-        // The time is counted from the closing of the books.
-        let record = account.holding.free.then(|| account.holding.record(0));
+        let free = account.holding.free;
+        let books = (free > 0).then(|| account.holding.books(free));
         let until = now + account.holding.retention.max(GIVEN_LIFE);
-        let before = self.given.swap_remove(program).and_then(|given| given.record);
-        self.given.insert(program.into(), Given { until, record: record.or(before) });
+        let before = self.given.swap_remove(program).and_then(|given| given.books);
+        self.given.insert(program.into(), Given { until, books: books.or(before) });
         let reserved = account.reservations.into_iter().map(|(id, held)| (id, held.most));
         let inheritance = Inheritance { holding: account.holding, reserved: reserved.collect() };
         Legacy::Account(Box::new(inheritance))
     }
 
-    /// Takes a program over from the owner that knew it.
-    pub fn inherit(&mut self, program: ProgramId, from: Inheritance, now: Instant) {
+    /// Takes a program over, while `since` is the last term, from the owner that knew it.
+    pub fn inherit(
+        &mut self,
+        program: ProgramId,
+        from: Inheritance,
+        since: term::Number,
+        now: Instant,
+    ) {
+        if self.knows(&program) {
+            // What would have been inherited counts as spent.
+            return;
+        }
         let reserved = from.reserved.into_iter();
         let reservations = reserved.map(|(id, most)| (id, Reservation { most, since: now }));
         let account = Account {
             holding: from.holding,
             reservations: reservations.collect(),
             drawing: None,
+            since,
             used: now,
         };
         self.accounts.insert(program, account);
@@ -438,7 +496,7 @@
     pub fn draw(&mut self, program: &str, tokens: Tokens) {
         if let Some(account) = self.accounts.get_mut(program) {
             account.holding.allowed += tokens;
-            account.holding.free = false;
+            account.holding.free = 0;
             account.drawing = None;
         }
     }
--- a/crates/testing/src/gate.rs
+++ b/crates/testing/src/gate.rs
@@ -49,10 +49,32 @@
 
     /// Number of members that the daemon knows.
     pub async fn members(&self) -> Option<usize> {
+        self.gauge("view_members").await
+    }
+
+    /// Number of the founders' term that the daemon knows to be open.
+    pub async fn term(&self) -> Option<usize> {
+        self.gauge("founders_term").await
+    }
+
+    async fn gauge(&self, name: &str) -> Option<usize> {
         let url = format!("http://{}/metrics", self.settings.probe_addr);
         let text = reqwest::get(url).await.ok()?.text().await.ok()?;
-        let line = text.lines().find_map(|line| line.strip_prefix("view_members "));
-        line?.parse().ok()
+        let value = |line: &str| line.strip_prefix(name)?.trim().parse().ok();
+        text.lines().find_map(value)
+    }
+
+    /// Waits until the daemon knows this term of founders to be open.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that does not come in time.
+    pub async fn in_term(&self, term: usize) {
+        let started = Instant::now();
+        while self.term().await != Some(term) {
+            assert!(started.elapsed() < PATIENCE, "{}: no term {term}", self.settings.vm);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
     }
 
     /// Waits until the daemon is ready and knows this many members.
@@ -184,7 +206,7 @@
         }
     }
 
-    /// Waits until all daemons are ready and know each other.
+    /// Waits until all daemons are ready, know each other, and know the first term of founders.
     ///
     /// # Panics
     ///
@@ -192,6 +214,7 @@
     pub async fn settled(&self) {
         for daemon in &self.daemons {
             daemon.settled(self.daemons.len(), PATIENCE).await;
+            daemon.in_term(1).await;
         }
     }
 
