Tell turns that need a record out of reach when outages tend to be over

Ruled out: holding the turns; the refusal is given at once.

Change: the reason no_record has its own Retry-After, 1.2 s with a spread.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -26,6 +26,8 @@
     BudgetSpent,
     /// The owner of the program's budget cannot be asked.
     NoOwner,
+    /// The durable record of the program's budget is out of reach.
+    NoRecord,
     /// No endpoint takes the request, which has not run.
     NoEndpoint,
     /// The time was up before the request ran.
@@ -44,9 +46,11 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
-            Self::NotConfigured | Self::NoOwner | Self::NoEndpoint | Self::DeadlineNotRun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotConfigured
+            | Self::NoOwner
+            | Self::NoRecord
+            | Self::NoEndpoint
+            | Self::DeadlineNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
         }
@@ -61,6 +65,7 @@
             Self::TooLarge => "too_large",
             Self::BudgetSpent => "budget_spent",
             Self::NoOwner => "no_owner",
+            Self::NoRecord => "no_record",
             Self::NoEndpoint => "no_endpoint",
             Self::DeadlineNotRun => "deadline_not_run",
             Self::Deadline => "deadline",
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -30,9 +30,12 @@
     /// The budget does not hold the turn.
     #[error("the program's budget is spent")]
     Exhausted,
-    /// No owner can tell.
-    #[error("no owner of the program's budget can tell")]
+    /// No owner answers.
+    #[error("no owner of the program's budget answers")]
     NoOwner,
+    /// The owner cannot reach the durable record that it needs.
+    #[error("the durable record of the program's budget is out of reach")]
+    NoRecord,
 }
 
 /// What asking an owner ended with.
@@ -152,7 +155,7 @@
             match granted {
                 Reply::Granted => return Ok(Reservation::new(self.clone(), ask)),
                 Reply::Exhausted => return Err(Error::Exhausted),
-                Reply::CannotTell => return Err(Error::NoOwner),
+                Reply::CannotTell => return Err(Error::NoRecord),
                 Reply::Silence => {}
             }
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -33,6 +33,9 @@
 const RETRY_NO_ENDPOINT: Duration = Duration::from_millis(250);
 /// Time after which a request is worth sending again when this daemon cannot serve it yet.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
+/// Time after which a turn is worth sending again when the key-value service is away; outages last for
+/// seconds, and a client that comes back at once has soon used up its tries.
+const RETRY_RECORD: Duration = Duration::from_millis(1_200);
 /// Longest answer that is read before it is passed on, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Time before the end of the wait at which the last answer is given.
@@ -225,6 +228,10 @@
                 let retry_after = self.context.retry_after(RETRY_ELSEWHERE);
                 Err(Box::new(self.own(Reason::NoOwner, retry_after)))
             }
+            Err(DeskError::NoRecord) => {
+                let retry_after = self.context.retry_after(RETRY_RECORD);
+                Err(Box::new(self.own(Reason::NoRecord, retry_after)))
+            }
         }
     }
 
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -6,8 +6,8 @@
 use sched::members;
 use sched::request::Part;
 use sched::spend::{self, Ledger};
-use sched::term::Origin;
 use sched::steward::{self, Board, End};
+use sched::term::Origin;
 use std::time::{Duration, Instant};
 
 /// Endpoints of one service, from a small site to the whole fleet.
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -281,7 +281,6 @@
     ask.budget + ask.most
 }
 
-
 /// Computes the record that follows `found` when `owner` draws more for the ask's program, and the
 /// tokens drawn.
 ///
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -238,10 +238,9 @@
     /// Tells whether many founders of the last term were lost with open books.
     fn lost_many(&self, live: &[Founder]) -> bool {
         let lost = |founder: &&Founder| !self.is_closed(founder) && !live.contains(founder);
-        self.terms
-            .terms
-            .last()
-            .is_some_and(|last| last.founders.iter().filter(lost).count() * FEW > last.founders.len())
+        self.terms.terms.last().is_some_and(|last| {
+            last.founders.iter().filter(lost).count() * FEW > last.founders.len()
+        })
     }
 
     /// Decides what has to be done for the next term while `live` are the live processes.
--- a/crates/sched/tests/term.rs
+++ b/crates/sched/tests/term.rs
@@ -11,8 +11,11 @@
 /// The processes with these numbers, each on a VM of its own.
 fn processes(incarnations: &[u64]) -> Vec<Founder> {
     let vms = incarnations.iter().enumerate();
-    vms.map(|(at, incarnation)| Founder { vm: format!("vm-{at}").into(), incarnation: *incarnation })
-        .collect()
+    vms.map(|(at, incarnation)| Founder {
+        vm: format!("vm-{at}").into(),
+        incarnation: *incarnation,
+    })
+    .collect()
 }
 
 /// Opens a term, due or not; tells whether enough was left for it.
