Keep the metrics without a clock that has to be calibrated

Cause: after a loss of all daemons some were ready 0.2 s later than others. A profile of a start showed half of the instructions, 7.3 M of 14.7 M, in the calibration of the exporter's clock, besides 2.1 M in clock_gettime; it goes on for up to 0.2 s, in which a daemon of 0.12 cores serves nobody.

Ruled out: the server of the probes and the key-value service (5 ms and 15 ms on daemons without the pause).

Change: gateway::recorder keeps the metrics in metrics-util's registry and writes them as text; histograms count in fixed buckets, so those of several daemons can be added. It is installed before anything counts.

--- a/crates/catkinshed/src/daemon.rs
+++ b/crates/catkinshed/src/daemon.rs
@@ -59,7 +59,7 @@
             kv: kv.clone(),
             ready: ready.clone(),
             flights: flights.clone(),
-            metrics: gateway::probes::recorder(),
+            metrics: gateway::recorder::Recorder::install(),
         };
         let rocket = http::build(app).ignite().await;
         let rocket = rocket.map_err(|error| anyhow::anyhow!("HTTP server: {}", error.kind()))?;
--- a/crates/catkinshed/src/http/mod.rs
+++ b/crates/catkinshed/src/http/mod.rs
@@ -11,7 +11,7 @@
 use crate::entry::Entry;
 use crate::settings::Settings;
 use gateway::flights::Flights;
-use metrics_exporter_prometheus::PrometheusHandle;
+use gateway::recorder::Recorder;
 use platform::kv;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -31,7 +31,7 @@
     /// Requests under way.
     pub flights: Flights,
     /// Metrics.
-    pub metrics: PrometheusHandle,
+    pub metrics: Recorder,
 }
 
 /// Builds the HTTP server.
--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -460,7 +460,8 @@
     for program in 0..20 {
         let id = format!("Program-Id: p-{program}");
         let at = program % gate.daemons.len();
-        let answer = gate.ask(at, "/stream/x", &format!("r-{program}"), &[&id, BUDGET, USAGE]).await;
+        let answer =
+            gate.ask(at, "/stream/x", &format!("r-{program}"), &[&id, BUDGET, USAGE]).await;
         assert_eq!(answer.status, 200, "{answer:?}");
     }
     assert_eq!(recorded(&gate).await, []);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::members;
 use crate::peers;
 use crate::probes::{self, Probe};
+use crate::recorder::Recorder;
 use crate::settings::{Settings, millis};
 use crate::terms;
 use crate::view::View;
@@ -40,6 +41,7 @@
 ///
 /// Returns an error when the daemon cannot start; the message says what to do.
 pub fn run(settings: Settings) -> Result<()> {
+    Recorder::install();
     let settings = Arc::new(settings);
     let bound = millis(settings.limits.platform_timeout_ms);
     let kv = Client::new(&settings.kv, bound).context("key-value client")?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //!   of them must last;
 //! * [`stewards`] books engines, so that daemons do not crowd some while others have room;
 //! * [`retire`] answers requests to empty a storage VM;
-//! * [`probes`] answers readiness and metrics, [`daemon`] starts and stops the parts.
+//! * [`probes`] answers readiness and metrics, which [`recorder`] keeps, [`daemon`] starts and stops the parts.
 //!
 //! One thread runs the control tasks, another the traffic; they share the view and the ledgers
 //! behind locks that are held for a decision only.
@@ -30,6 +30,7 @@
 pub mod owner;
 pub mod peers;
 pub mod probes;
+pub mod recorder;
 pub mod records;
 pub mod relay;
 pub mod retire;
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -1,14 +1,14 @@
 //! Readiness for the balancer, and metrics.
 
 use crate::ingress::Phase;
+use crate::recorder::Recorder;
 use crate::view::View;
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use platform::READY_PATH;
 use rocket::http::{Method, Status};
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Data, Request, State, get, routes};
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use tokio::sync::watch;
 
 /// What readiness depends on.
@@ -39,24 +39,10 @@
 }
 
 #[get("/metrics")]
-fn render(recorder: &State<PrometheusHandle>) -> String {
+fn render(recorder: &State<Recorder>) -> String {
     recorder.render()
 }
 
-/// Installs the process's metrics recorder once; daemons in one process share it.
-pub fn recorder() -> PrometheusHandle {
-    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
-    let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        if metrics::set_global_recorder(recorder).is_err() {
-            log::warn!("another metrics recorder is installed; /metrics stays empty");
-        }
-        handle
-    };
-    RECORDER.get_or_init(install).clone()
-}
-
 /// Settings of a server at `addr` whose process handles signals and writes the log itself.
 pub fn server(addr: SocketAddr) -> rocket::Config {
     let shutdown = rocket::config::Shutdown {
@@ -85,7 +71,7 @@
     let config = rocket::Config { workers: 1, ..server(addr) };
     let ready = Route::new(Method::Get, READY_PATH, Ready(Arc::new(probe)));
     let rocket =
-        rocket::custom(config).manage(recorder()).mount("/", [ready]).mount("/", routes![render]);
+        rocket::custom(config).manage(Recorder::install()).mount("/", [ready]).mount("/", routes![render]);
     let launched = rocket.launch().await;
     launched.map(drop).map_err(|error| anyhow::anyhow!("the probes' server: {}", error.kind()))
 }
