Tell broken promises by one type

The checks of the programs role and those of the soak each had a type for a broken promise, alike but for the promises. The soak's is now the other one with its own promises. Nothing that is checked changes.

--- a/crates/testing/src/check.rs
+++ b/crates/testing/src/check.rs
@@ -39,9 +39,9 @@
 
 /// A broken promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Violation {
+pub struct Violation<P = Promise> {
     /// The promise.
-    pub promise: Promise,
+    pub promise: P,
     /// What was seen.
     pub seen: String,
 }
--- a/crates/testing/src/soak/check.rs
+++ b/crates/testing/src/soak/check.rs
@@ -35,14 +35,8 @@
     Retired,
 }
 
-/// A broken promise.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Violation {
-    /// The promise.
-    pub promise: Promise,
-    /// What was seen.
-    pub seen: String,
-}
+/// A broken promise of the gateway.
+pub type Violation = crate::check::Violation<Promise>;
 
 /// What clients and endpoints saw.
 #[derive(Clone, Debug)]
