Read the founders' terms and match founders to members in one place

Found by reading the whole change: the value of the terms' key and its revision were put together in three places, and a member's process was compared with a founder in three ways. members::terms now returns both, and members::process and members::member_of serve the owner's choice, the takeover and the view.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -234,10 +234,9 @@
         let registrations = entries.iter().filter_map(registration).collect();
         let members = entries.iter().filter_map(member).collect();
         let terms = entries.iter().find(|entry| entry.key == members::TERMS);
-        let terms = terms.and_then(|entry| Some((members::terms(entry)?, entry.revision)));
-        let (terms, revision_of_terms) = terms.unwrap_or_default();
+        let (terms, terms_revision) = terms.and_then(members::terms).unwrap_or_default();
         let closed = entries.iter().filter_map(|entry| members::closed_founder(&entry.key));
-        let roll = Roll { terms, revision: revision_of_terms, closed: closed.collect() };
+        let roll = Roll { terms, revision: terms_revision, closed: closed.collect() };
         self.view.replace(registrations, members, roll, revision, Instant::now());
     }
 
@@ -321,7 +320,8 @@
                 return found.or(Some(Change::Vanished(id.into())));
             }
             if entry.key == members::TERMS {
-                return members::terms(&entry).map(|terms| Change::Terms(terms, entry.revision));
+                return members::terms(&entry)
+                    .map(|(terms, revision)| Change::Terms(terms, revision));
             }
             let joined = member(&entry).map(Change::Joined);
             joined.or_else(|| members::closed_founder(&entry.key).map(Change::Closed))
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,10 +7,10 @@
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
 use peer::gateway::Member;
-use platform::kv::Entry;
+use platform::kv::{Entry, Revision};
 use sched::id::VmId;
 use sched::members;
-use sched::term::{Incarnation, Roll, Terms};
+use sched::term::{Founder, Incarnation, Roll, Terms};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -42,10 +42,11 @@
     Incarnation::from_str_radix(key.strip_prefix(CLOSED)?, 16).ok()
 }
 
-/// Reads the founders' terms; what cannot be read counts as none, with a log line.
-pub fn terms(entry: &Entry) -> Option<Terms> {
+/// Reads the founders' terms and the revision at which they were written; what cannot be read counts as
+/// none, with a log line.
+pub fn terms(entry: &Entry) -> Option<(Terms, Revision)> {
     match serde_json::from_slice(&entry.value) {
-        Ok(terms) => Some(terms),
+        Ok(terms) => Some((terms, entry.revision)),
         Err(error) => {
             log::error!(target: "budget", "the founders' terms cannot be read: {error}");
             None
@@ -134,13 +135,20 @@
 ) -> Option<&'a Member> {
     let heard = |member: &&Member| !suspects.contains(&member.vm, now);
     let founder = roll.founder(program).filter(|founder| !roll.is_closed(founder));
-    let founder = founder.and_then(|founder| {
-        let member = live.get(&founder.vm)?;
-        (member.incarnation == founder.incarnation).then_some(member)
-    });
+    let founder = founder.and_then(|founder| member_of(founder, live));
     founder.filter(heard).or_else(|| first(program, live.values().filter(heard)))
 }
 
+/// The process behind a member key.
+pub fn process(member: &Member) -> Founder {
+    Founder { vm: member.vm.clone(), incarnation: member.incarnation }
+}
+
+/// The member whose process is this founder; another process on its VM is not.
+pub fn member_of<'a>(founder: &Founder, live: &'a IndexMap<VmId, Member>) -> Option<&'a Member> {
+    live.get(&founder.vm).filter(|member| member.incarnation == founder.incarnation)
+}
+
 /// The first of some members in a program's order.
 fn first<'a>(program: &str, among: impl Iterator<Item = &'a Member>) -> Option<&'a Member> {
     among.max_by_key(|member| members::weight(&program, &member.vm))
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -84,7 +84,7 @@
                     return known;
                 }
                 // One that is the founder in its own view only speaks of another term.
-                Legacy::Renounced if founder.as_ref() == Some(&process(&former)) => {
+                Legacy::Renounced if founder.as_ref() == Some(&members::process(&former)) => {
                     renounced.push(Silent { founder: former.incarnation, after: 0 });
                 }
                 Legacy::Renounced | Legacy::Nothing => {}
@@ -99,9 +99,7 @@
         let me = &self.settings.vm;
         let lost = self.view.lost_before(program, me, EXIT_WITHIN, Instant::now());
         let (founder, next) = self.view.with_members(|live| {
-            let founder = founder.and_then(|founder| {
-                live.get(&founder.vm).filter(|member| process(member) == *founder).cloned()
-            });
+            let founder = founder.and_then(|founder| members::member_of(founder, live)).cloned();
             (founder, members::successor(program, live, me).cloned())
         });
         let mut formers: Vec<Member> = Vec::new();
@@ -275,11 +273,6 @@
     }
 }
 
-/// The process behind a member key.
-fn process(member: &Member) -> Founder {
-    Founder { vm: member.vm.clone(), incarnation: member.incarnation }
-}
-
 /// Milliseconds since the Unix epoch.
 pub(crate) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -195,9 +195,7 @@
     /// Returns an [`Error`] when the service is out of reach.
     pub async fn fetch_terms(&self) -> Result<(), Error> {
         let found = self.bounded(self.kv.get(members::TERMS)).await?;
-        if let Some((terms, revision)) =
-            found.as_ref().and_then(|entry| Some((members::terms(entry)?, entry.revision)))
-        {
+        if let Some((terms, revision)) = found.as_ref().and_then(members::terms) {
             self.view.learn_terms(terms, revision);
         }
         Ok(())
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,6 +4,7 @@
 //! copy holds. A configuration is only ever replaced by one of a higher version, whichever way it
 //! came.
 
+use crate::members;
 use indexmap::{IndexMap, IndexSet};
 use peer::gateway::{Change, Changes, Member, View as Exported};
 use sched::fleet::{Fleet, Registration};
@@ -132,9 +133,7 @@
 
     /// Processes of the live daemons.
     pub fn processes(&self) -> Vec<Founder> {
-        let state = self.lock();
-        let live = state.members.values();
-        live.map(|live| Founder { vm: live.vm.clone(), incarnation: live.incarnation }).collect()
+        self.with_members(|live| live.values().map(members::process).collect())
     }
 
     /// Takes in the founders' terms as they were written at `revision`.
