Set the handlers of signals before anything else is started

Cause: a SIGHUP right after its start ended a daemon (shown by hand), because the handlers were set last, after the runtimes, threads and connections.

What is left is the time before main.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -15,6 +15,7 @@
 use crate::probes::{self, Probe};
 use crate::recorder::Recorder;
 use crate::settings::{Settings, millis};
+use crate::signals::Signals;
 use crate::terms;
 use crate::view::View;
 use anyhow::{Context, Result};
@@ -25,7 +26,6 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
@@ -42,6 +42,11 @@
 ///
 /// Returns an error when the daemon cannot start; the message says what to do.
 pub fn run(settings: Settings) -> Result<()> {
+    let control = runtime()?;
+    let mut signals = {
+        let _entered = control.enter();
+        Signals::new()?
+    };
     Recorder::install();
     let settings = Arc::new(settings);
     let bound = millis(settings.limits.platform_timeout_ms);
@@ -82,7 +87,7 @@
         sources,
         retired: Arc::default(),
     };
-    runtime()?.block_on(async {
+    control.block_on(async {
         tokio::spawn(follower.clone().keep(Part::Configuration));
         tokio::spawn(follower.clone().keep(Part::Directory));
         for slot in 0..FEEDS {
@@ -99,7 +104,7 @@
         tokio::spawn(terms::keep(desk.clone(), kv.clone()));
         let member = tokio::spawn(hold_member(settings.clone(), kv.clone(), desk.incarnation));
         log::info!(target: "daemon", vm = settings.vm.as_str(); "started");
-        stop_signal().await?;
+        signals.stop().await;
         log::info!(target: "daemon", vm = settings.vm.as_str(); "stopping");
         let begun = Instant::now();
         let close = begun + millis(settings.limits.stop_close_ms);
@@ -131,21 +136,6 @@
     })
 }
 
-async fn stop_signal() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = reload.recv() => {
-                log::info!(target: "daemon", "told to reload; the settings of a running daemon are fixed");
-            }
-        }
-    }
-}
-
 async fn serve_peers(
     listener: TcpListener,
     context: Arc<Shared>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,8 @@
 //!   of them must last;
 //! * [`stewards`] books engines, so that daemons do not crowd some while others have room;
 //! * [`retire`] answers requests to empty a storage VM;
-//! * [`probes`] answers readiness and metrics, which [`recorder`] keeps, [`daemon`] starts and stops the parts.
+//! * [`probes`] answers readiness and metrics, which [`recorder`] keeps, [`signals`] takes the
+//!   platform's signals, [`daemon`] starts and stops the parts.
 //!
 //! One thread runs the control tasks, another the traffic; they share the view and the ledgers
 //! behind locks that are held for a decision only.
@@ -35,6 +36,7 @@
 pub mod relay;
 pub mod retire;
 pub mod settings;
+pub mod signals;
 pub mod stewards;
 pub mod storage;
 pub mod terms;
