Refuse at a stop by the time that a request may wait

Where to draw the line is known for each request: its deadline or its route's timeout.

Change: while connections close, a request that may wait for longer than the process lasts is refused as stopping; shorter ones are served to the end. The setting stop_refuse_ms and the phase that followed it are gone, and the refusal writes the usual line with route and program.

The test keeps its assertions and also has a short request, which is served.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -343,7 +343,7 @@
     let (mut gate, endpoint) = single("late", [streaming(100, GAP)]).await;
     let daemon = &mut gate.daemons[0];
     let limits = &mut daemon.settings.limits;
-    (limits.stop_close_ms, limits.stop_refuse_ms, limits.stop_wait_ms) = (100, 300, 8_000);
+    (limits.stop_close_ms, limits.stop_wait_ms) = (100, 3_500);
     daemon.restart();
     daemon.ready().await;
     let mut stream = gate.open(0, "/stream/x", "r-1", &[]).await;
@@ -353,10 +353,12 @@
     let late = gate.ask(0, "/unsafe/x", "r-2", &[]).await;
     assert_eq!((late.status, late.body.as_str(), late.complete), (503, "stopping", true));
     assert!(late.header("retry-after").is_some());
+    let short = gate.ask(0, "/unsafe/x", "r-3", &["Deadline-Ms: 800"]).await;
+    assert_eq!((short.status, short.complete), (200, true));
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).await.expect("the stream ends in order");
     assert!(String::from_utf8_lossy(&bytes).contains("id: 100"));
-    assert_eq!(ids(&endpoint), ["r-1"]);
+    assert_eq!(ids(&endpoint), ["r-1", "r-3"]);
     assert_eq!(gate.daemons[0].process.exited().await, Some(0));
 }
 
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -2,8 +2,8 @@
 //!
 //! The control thread keeps the view, the membership and the probes; the traffic thread serves
 //! clients and their reservations. A stop first turns readiness off and goes on serving, since the
-//! balancer takes a while to see it; then connections close after their request under way, and at last
-//! requests are refused that could outlast the process.
+//! balancer takes a while to see it; then connections close after their request under way, and requests
+//! that could outlast the process are refused.
 
 use crate::desk::Desk;
 use crate::flights::Flights;
@@ -108,7 +108,6 @@
         log::info!(target: "daemon", vm = settings.vm.as_str(); "stopping");
         let begun = Instant::now();
         let close = begun + millis(settings.limits.stop_close_ms);
-        let refuse = begun + millis(settings.limits.stop_refuse_ms);
         let end = begun + millis(settings.limits.stop_wait_ms);
         phase.send_replace(Phase::Leaving);
         member.abort();
@@ -116,10 +115,7 @@
             log::info!(target: "member", "the key-value service is too slow to leave in time");
         }
         sleep_until(close.into()).await;
-        phase.send_replace(Phase::Closing);
-        if timeout_at(refuse.into(), flights.landed()).await.is_err() {
-            phase.send_replace(Phase::Refusing);
-        }
+        phase.send_replace(Phase::Closing { ends: end });
         let landed = timeout_at(end.into(), flights.landed()).await.is_ok();
         log::info!(target: "daemon", vm = settings.vm.as_str(), landed; "stopped");
         Ok(())
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -129,8 +129,13 @@
     pub visit: Visit,
 }
 
-/// Serves one request.
-pub async fn serve(context: Arc<Context>, table: &Table, arrival: Arrival) -> Response<Body> {
+/// Serves one request; where the daemon stops, `ends` tells when its process ends.
+pub async fn serve(
+    context: Arc<Context>,
+    table: &Table,
+    arrival: Arrival,
+    ends: Option<Instant>,
+) -> Response<Body> {
     let id = arrival.facts.id.clone();
     let host = arrival.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or(arrival.uri.host()).unwrap_or_default();
@@ -151,6 +156,9 @@
         context,
         arrival,
     };
+    if ends.is_some_and(|ends| trip.until > ends) {
+        return trip.give_up(Reason::Stopping);
+    }
     trip.run().await
 }
 
@@ -421,7 +429,7 @@
     fn give_up(&self, reason: Reason) -> Response<Body> {
         let retry_after = match reason {
             Reason::NoEndpoint => self.context.retry_after(RETRY_NO_ENDPOINT),
-            Reason::DeadlineNotRun => self.context.retry_after(RETRY_ELSEWHERE),
+            Reason::DeadlineNotRun | Reason::Stopping => self.context.retry_after(RETRY_ELSEWHERE),
             _ => None,
         };
         self.own(reason, retry_after)
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -31,21 +31,30 @@
 /// Time after which a daemon that knows no configuration yet is worth asking again.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 
-/// Time after which a request to a stopping daemon is worth sending again, to another one.
-const RETRY_STOPPING: Duration = Duration::from_millis(50);
-
 /// How far a stop has come.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
     /// Requests are taken.
     #[default]
     Serving,
     /// The balancer is told to send no new connections.
     Leaving,
-    /// Connections close after the request under way.
-    Closing,
-    /// Requests are refused, since they could outlast the process.
-    Refusing,
+    /// Connections close after the request under way. The balancer goes on sending some where most of a
+    /// data centre's daemons stop.
+    Closing {
+        /// When the process ends at the latest; requests that may wait for longer are refused.
+        ends: Instant,
+    },
+}
+
+impl Phase {
+    /// When the process ends, once connections are to close.
+    fn ends(self) -> Option<Instant> {
+        match self {
+            Self::Serving | Self::Leaving => None,
+            Self::Closing { ends } => Some(ends),
+        }
+    }
 }
 
 /// Takes connections until the process ends.
@@ -79,10 +88,10 @@
     let limits = context.view.table().map_or_else(Limits::default, |table| table.limits);
     let present = phase.clone();
     // A connection that comes while others are closed serves one request.
-    let late = *phase.borrow() >= Phase::Closing;
+    let late = phase.borrow().ends().is_some();
     let service = service_fn(move |request| {
-        let (context, phase) = (context.clone(), *present.borrow());
-        async move { Ok::<_, Infallible>(answer(context, phase, request).await) }
+        let (context, ends) = (context.clone(), present.borrow().ends());
+        async move { Ok::<_, Infallible>(answer(context, ends, request).await) }
     });
     let mut connection = std::pin::pin!(
         http1::Builder::new()
@@ -103,7 +112,7 @@
 
 /// Waits until connections are to close; for ever where that never comes.
 async fn closing_phase(phase: &mut watch::Receiver<Phase>) {
-    let closing = phase.wait_for(|phase| *phase >= Phase::Closing).await.map(drop);
+    let closing = phase.wait_for(|phase| phase.ends().is_some()).await.map(drop);
     if closing.is_err() {
         std::future::pending::<()>().await;
     }
@@ -116,16 +125,17 @@
     }
 }
 
-async fn answer(context: Arc<Context>, phase: Phase, request: Request<Incoming>) -> Response<Body> {
+async fn answer(
+    context: Arc<Context>,
+    ends: Option<Instant>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     metrics::counter!("requests_total").increment(1);
     let at = Instant::now();
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = match read(&context, request, at).await {
-        Ok(arrival) if phase == Phase::Refusing => {
-            closing(answer::early(Reason::Stopping, &arrival.facts.id, Some(RETRY_STOPPING)))
-        }
         Ok(arrival) => match context.view.table() {
-            Some(table) => forward::serve(context, &table, arrival).await,
+            Some(table) => forward::serve(context, &table, arrival, ends).await,
             None => {
                 let id = &arrival.facts.id;
                 answer::early(Reason::NotConfigured, id, Some(RETRY_UNCONFIGURED))
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,9 +27,6 @@
     pub stall_ms: u64,
     /// Time between a stop signal and the closing of idle connections, in milliseconds.
     pub stop_close_ms: u64,
-    /// Time after the begin of a stop from which requests are refused, in milliseconds: they could
-    /// outlast the stop. The balancer goes on sending some where most of a data centre's daemons stop.
-    pub stop_refuse_ms: u64,
     /// Longest time that a stop waits for requests under way, in milliseconds.
     pub stop_wait_ms: u64,
 }
@@ -44,7 +41,6 @@
             reserve_timeout_ms: 1_500,
             stall_ms: 500,
             stop_close_ms: 3_000,
-            stop_refuse_ms: 4_500,
             stop_wait_ms: 7_500,
         }
     }
@@ -111,13 +107,8 @@
             (limits.lease_ttl_ms >= 1_000, "limits.lease_ttl_ms", "must be at least 1000"),
             (limits.stall_ms > 0, "limits.stall_ms", "must not be 0"),
             (
-                limits.stop_close_ms <= limits.stop_refuse_ms,
+                limits.stop_close_ms <= limits.stop_wait_ms,
                 "limits.stop_close_ms",
-                "must not exceed limits.stop_refuse_ms",
-            ),
-            (
-                limits.stop_refuse_ms <= limits.stop_wait_ms,
-                "limits.stop_refuse_ms",
                 "must not exceed limits.stop_wait_ms",
             ),
         ];
