Count a run that is in doubt until its endpoint is gone

Ruled out: the retry budget (it bounds how often, not where).

Change: a rejection speaks of its own try only. An endpoint that takes no connection, or at whose address another one answers, has ended and is left.

Tests that failed first: a_late_stream_that_is_refused_next_may_still_have_run_before, a_refusal_elsewhere_does_not_free_the_attempt_that_was_used, an_endpoint_that_refuses_what_it_may_have_run_is_asked_later_and_later.

--- a/crates/gateway/src/forward/visit.rs
+++ b/crates/gateway/src/forward/visit.rs
@@ -23,6 +23,8 @@
 /// Time within which an endpoint that is down resets a connection; no run ends as soon.
 const RESET_WITHIN: Duration = Duration::from_millis(20);
 
+/// Status by which an endpoint says that the request is meant for another one.
+const MISDIRECTED: u16 = 421;
 /// Silence of an endpoint that counts as its failure when the request ends in it.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
@@ -98,14 +100,14 @@
                     Ok(link) => link,
                     Err(error) => {
                         visit.fail();
-                        return Err(self.refused(&registration, &error.to_string()));
+                        return Err(self.unreachable(&registration, &error.to_string()));
                     }
                 }
             }
         };
         let order = match self.order(&registration, resume_after) {
             Some(order) => order,
-            None => return Err(self.refused(&registration, "the request cannot be built")),
+            None => return Err(self.unreachable(&registration, "the request cannot be built")),
         };
         self.attempt.send();
         let sent = Instant::now();
@@ -120,7 +122,7 @@
         }
         visit.fail();
         Err(match error {
-            upstream::Error::Unsent => self.refused(&registration, &error.to_string()),
+            upstream::Error::Unsent => self.unreachable(&registration, &error.to_string()),
             upstream::Error::Broken(error) if sent.elapsed() < RESET_WITHIN => {
                 self.reset(&registration, link.reused, &error.to_string())
             }
@@ -229,11 +231,12 @@
         if header::not_run(status, headers) {
             let now = Instant::now();
             let view = &self.context.view;
-            match status {
-                421 => view.fleet(|fleet| fleet.fail(&registration.id, now)),
-                _ => view.fleet(|fleet| fleet.full(&registration.id, now)),
-            }
             self.note(&registration, "the endpoint did not run the request");
+            if status == MISDIRECTED {
+                view.fleet(|fleet| fleet.fail(&registration.id, now));
+                return Err(self.attempt.absent(&registration.id));
+            }
+            view.fleet(|fleet| fleet.full(&registration.id, now));
             return Err(self.attempt.refuse(&registration.id));
         }
         if !header::signed(headers) || header::encoded(headers) {
@@ -246,10 +249,10 @@
         Ok(Head { response, link, registration, visit })
     }
 
-    fn refused(&mut self, registration: &Registration, why: &str) -> Next {
+    fn unreachable(&mut self, registration: &Registration, why: &str) -> Next {
         self.note(registration, why);
         self.context.view.fleet(|fleet| fleet.fail(&registration.id, Instant::now()));
-        self.attempt.refuse(&registration.id)
+        self.attempt.absent(&registration.id)
     }
 
     /// Notes that an endpoint broke off and finds out whether it still lives.
--- a/crates/sched/src/attempt.rs
+++ b/crates/sched/src/attempt.rs
@@ -67,7 +67,7 @@
     stale: u32,
     /// Resets in a row.
     resets: u32,
-    /// Losses in a row at the endpoint that was asked last.
+    /// Tries in a row that failed at the endpoint that was asked last.
     losses: u32,
     /// Endpoints that may have run it and still live.
     ran: Vec<EndpointId>,
@@ -105,13 +105,29 @@
         }
     }
 
-    /// Notes that the endpoint did not run the request, or that no byte left.
+    /// Notes that the endpoint says that it did not run the request.
+    ///
+    /// What it says of this try holds for no earlier one: it may have run the request before.
     pub fn refuse(&mut self, endpoint: &EndpointId) -> Next {
+        if self.ran.contains(endpoint) {
+            self.losses += 1;
+        }
+        self.not_run_by(endpoint)
+    }
+
+    /// Notes that the endpoint is not there any more: it takes no connection, or another one answers
+    /// at its address.
+    pub fn absent(&mut self, endpoint: &EndpointId) -> Next {
+        self.ran.retain(|ran| ran != endpoint);
+        self.not_run_by(endpoint)
+    }
+
+    /// Decides after a try of which it is known that it did not run.
+    fn not_run_by(&mut self, endpoint: &EndpointId) -> Next {
         if self.progress == Progress::Sent {
             self.progress = Progress::NotRun;
         }
         self.refused.push(endpoint.clone());
-        self.ran.retain(|ran| ran != endpoint);
         match (self.refused.len() < MAX_REFUSALS, self.progress) {
             (true, Progress::MayHaveRun) => self.again(),
             (true, _) => Next::Anywhere,
@@ -124,7 +140,7 @@
     pub fn unsent(&mut self, endpoint: &EndpointId) -> Next {
         self.stale += 1;
         if self.stale > MAX_STALE {
-            return self.refuse(endpoint);
+            return self.absent(endpoint);
         }
         if self.progress == Progress::Sent {
             self.progress = Progress::NotRun;
--- a/crates/sched/tests/attempt.rs
+++ b/crates/sched/tests/attempt.rs
@@ -9,11 +9,12 @@
 /// One step of a request's life.
 enum Step {
     Refused(&'static str),
+    Absent(&'static str),
     Unsent(&'static str),
     Lost(&'static str, Loss),
 }
 
-use Step::{Lost, Refused, Unsent};
+use Step::{Absent, Lost, Refused, Unsent};
 
 /// Sends and takes each step; returns what follows the last one.
 fn walk(kind: Kind, max_attempts: u32, steps: &[Step]) -> (Next, Progress) {
@@ -23,6 +24,7 @@
         attempt.send();
         next = match step {
             Refused(endpoint) => attempt.refuse(&(*endpoint).into()),
+            Absent(endpoint) => attempt.absent(&(*endpoint).into()),
             Unsent(endpoint) => attempt.unsent(&(*endpoint).into()),
             Lost(endpoint, loss) => attempt.lose(&(*endpoint).into(), *loss),
         };
@@ -79,6 +81,14 @@
         STREAM, 1, [Lost("a", Loss::Gone)] => Next::Anywhere, MayHaveRun;
     a_resumed_stream_that_is_refused_is_not_said_not_to_have_run:
         STREAM, 1, [Lost("a", Loss::Gone), Refused("b")] => Next::Anywhere, MayHaveRun;
+    a_late_stream_that_is_refused_next_may_still_have_run_before:
+        STREAM, 1, [Lost("a", Loss::Alive), Refused("a"), Refused("a")]
+            => Next::Same("a".into()), MayHaveRun;
+    a_refusal_elsewhere_does_not_free_the_attempt_that_was_used:
+        STREAM, 2, [Lost("a", Loss::Alive), Refused("b"), Lost("b", Loss::Alive), Refused("b")]
+            => Next::Same("b".into()), MayHaveRun;
+    a_stream_goes_elsewhere_once_its_endpoint_takes_no_connection:
+        STREAM, 1, [Lost("a", Loss::Alive), Absent("a")] => Next::Anywhere, MayHaveRun;
 }
 
 #[test]
@@ -104,6 +114,20 @@
     assert_eq!(attempt.progress(), Progress::NotRun);
 }
 
+#[test]
+fn an_endpoint_that_refuses_what_it_may_have_run_is_asked_later_and_later() {
+    let mut attempt = Attempt::new(STREAM, 1);
+    attempt.send();
+    attempt.lose(&"a".into(), Loss::Alive);
+    let mut pauses = vec![attempt.pause().as_millis()];
+    while attempt.refuse(&"a".into()) == Next::Same("a".into()) {
+        attempt.send();
+        pauses.push(attempt.pause().as_millis());
+    }
+    assert_eq!(pauses, [5, 10, 20, 40, 80, 160, 160, 160]);
+    assert_eq!(attempt.progress(), Progress::MayHaveRun);
+}
+
 #[test]
 fn an_endpoint_is_asked_again_later_and_later() {
     let mut attempt = Attempt::new(STREAM, 1);
