Turn programs away before their first turn where engines have no room

Cause: beyond about three times the usual load every turn of every program waited behind the others', no program ended in time, and the late ones kept the engines busy long after the burst (engines rejected 18,178 of 29,292 arrivals, turns walked from engine to engine, late streams were sent once more).

Change: stewards decide on admission (sched::admission). The owner of a program's budget tells whether its first turn asks; such a turn is refused at once as overloaded while the group's bookings are above 1.1 of its slots, with a spread time to come back from the rate at which programs begin. What came back late begins where there is room to spare; turns of programs under way go on up to 2.5 of the least loaded endpoint. A late request that was booked behind a full batch is not repeated.

Tests: admission.rs; overload.rs replays steps, a ramp, a wave, lost engines and clients that do not obey on a model of engines.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -32,6 +32,8 @@
     NoRecord,
     /// No endpoint takes the request, which has not run.
     NoEndpoint,
+    /// More requests come than the endpoints can serve; this one has not run.
+    Overloaded,
     /// The time was up before the request ran.
     DeadlineNotRun,
     /// The time was up while the request was at an endpoint.
@@ -53,6 +55,7 @@
             | Self::NoOwner
             | Self::NoRecord
             | Self::NoEndpoint
+            | Self::Overloaded
             | Self::DeadlineNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -71,6 +74,7 @@
             Self::NoOwner => "no_owner",
             Self::NoRecord => "no_record",
             Self::NoEndpoint => "no_endpoint",
+            Self::Overloaded => "overloaded",
             Self::DeadlineNotRun => "deadline_not_run",
             Self::Deadline => "deadline",
             Self::Unknown => "unknown",
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -10,8 +10,9 @@
 use peer::gateway::{Answer, Ask, Member, Settlement};
 use peer::wire::{self, Request};
 use platform::kv;
+use sched::admission::Stage;
 use sched::id::{ProgramId, RequestId, Tokens, VmId};
-use sched::spend::{self, Ledger};
+use sched::spend::{self, Decision, Ledger};
 use sched::term::Incarnation;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -41,24 +42,11 @@
 /// What asking an owner ended with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reply {
-    Granted,
-    Exhausted,
-    /// The owner needs the durable record and cannot reach it.
-    CannotTell,
+    Decided(Decision),
     /// The owner did not answer.
     Silence,
 }
 
-impl Reply {
-    fn of(granted: Option<bool>) -> Self {
-        match granted {
-            Some(true) => Self::Granted,
-            Some(false) => Self::Exhausted,
-            None => Self::CannotTell,
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Count {
     handed_out: Tokens,
@@ -150,12 +138,14 @@
             let granted = match self.owner(&ask.program, now) {
                 Some(owner) if owner.vm != self.settings.vm => self.ask_peer(&owner, &ask).await,
                 // Without members this daemon's own key is not written yet, or has lapsed.
-                Some(_) | None => Reply::of(self.decide(&ask).await),
+                Some(_) | None => Reply::Decided(self.decide(&ask).await),
             };
             match granted {
-                Reply::Granted => return Ok(Reservation::new(self.clone(), ask)),
-                Reply::Exhausted => return Err(Error::Exhausted),
-                Reply::CannotTell => return Err(Error::NoRecord),
+                Reply::Decided(Decision::Granted(stage)) => {
+                    return Ok(Reservation { desk: self.clone(), ask, stage });
+                }
+                Reply::Decided(Decision::Exhausted) => return Err(Error::Exhausted),
+                Reply::Decided(Decision::Unknown) => return Err(Error::NoRecord),
                 Reply::Silence => {}
             }
         }
@@ -177,18 +167,18 @@
         };
         let bound = millis(self.settings.limits.peer_timeout_ms);
         match timeout(bound, first).await.ok().flatten() {
-            Some((wire::Reply::Gateway(Answer::Reserved(granted)), _)) => {
+            Some((wire::Reply::Gateway(Answer::Reserved(decision)), _)) => {
                 self.suspects.clear(&owner.vm);
-                Reply::of(granted)
+                Reply::Decided(decision)
             }
             Some((_, mut replies)) => {
                 // The owner lives, so no other may decide meanwhile.
                 let bound = millis(self.settings.limits.reserve_timeout_ms);
                 match timeout(bound, replies.next()).await {
-                    Ok(Ok(Some(wire::Reply::Gateway(Answer::Reserved(granted))))) => {
-                        Reply::of(granted)
+                    Ok(Ok(Some(wire::Reply::Gateway(Answer::Reserved(decision))))) => {
+                        Reply::Decided(decision)
                     }
-                    _ => Reply::CannotTell,
+                    _ => Reply::Decided(Decision::Unknown),
                 }
             }
             None => {
@@ -239,13 +229,11 @@
 pub struct Reservation {
     desk: Arc<Desk>,
     ask: spend::Ask,
+    /// How far the turn's program has come.
+    pub stage: Stage,
 }
 
 impl Reservation {
-    fn new(desk: Arc<Desk>, ask: spend::Ask) -> Self {
-        Self { desk, ask }
-    }
-
     /// Counts tokens that are handed out.
     pub fn hand_out(&self, tokens: Tokens, now: Instant) {
         self.desk.hand_out(&self.ask.program, tokens, now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,7 +8,7 @@
 use crate::desk::{Desk, Error as DeskError, Reservation};
 use crate::relay::Relay;
 use crate::settings::Settings;
-use crate::stewards::{Booked, Stewards};
+use crate::stewards::{Booked, Placement, Stewards};
 use crate::upstream::{Link, Pool};
 use crate::view::View;
 use bytes::Bytes;
@@ -17,7 +17,8 @@
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use platform::header;
-use sched::attempt::{self, Attempt, Next};
+use sched::admission::Stage;
+use sched::attempt::{self, Attempt, Next, Progress};
 use sched::fleet::{Need, Registration};
 use sched::id::{EndpointId, Version};
 use sched::request::Facts;
@@ -112,11 +113,21 @@
     attempt: Attempt,
     /// Time without an answer after which the request is sent once more, unless it was.
     patience: Option<Duration>,
+    /// How far its program has come.
+    stage: Stage,
+    /// When it is worth sending again, where a steward refused it.
+    retry_after: Option<Duration>,
     /// Version of the configuration that routed it.
     version: Version,
     until: Instant,
 }
 
+/// An endpoint for a request.
+struct Target {
+    registration: Registration,
+    booked: Option<Booked>,
+}
+
 /// An answer whose head has come.
 pub struct Head {
     /// The head and the rest of the answer.
@@ -149,6 +160,8 @@
     let trip = Trip {
         attempt: Attempt::new(route.kind, route.max_attempts),
         patience: retry::patience(route),
+        stage: Stage::Continues,
+        retry_after: None,
         version: table.version,
         until: arrival.at + wait,
         service: service.clone(),
@@ -191,6 +204,9 @@
             Ok(reservation) => reservation,
             Err(response) => return *response,
         };
+        if let Some(reservation) = &reservation {
+            self.stage = reservation.stage;
+        }
         loop {
             let head = match self.head(None, None).await {
                 Ok(head) => head,
@@ -256,12 +272,7 @@
             if now >= self.due() {
                 return Err(self.overdue());
             }
-            let Some((registration, booked)) = self.choose(only.take(), now).await else {
-                return Err(match self.attempt.give_up() {
-                    Next::RefuseNotRun => Reason::NoEndpoint,
-                    _ => Reason::Unknown,
-                });
-            };
+            let Target { registration, booked } = self.choose(only.take(), now).await?;
             let next = match self.visit(registration, booked, resume_after).await {
                 Ok(head) => return Ok(head),
                 Err(next) => next,
@@ -288,22 +299,33 @@
 
     /// Chooses an endpoint: `only` if it takes work, else one that a steward books, else one by this
     /// daemon's own knowledge.
-    async fn choose(
-        &self,
-        only: Option<EndpointId>,
-        now: Instant,
-    ) -> Option<(Registration, Option<Booked>)> {
+    async fn choose(&mut self, only: Option<EndpointId>, now: Instant) -> Result<Target, Reason> {
         let view = &self.context.view;
         let registration = |id: &EndpointId| {
             view.fleet(|fleet| fleet.registration(id).filter(|found| fleet.takes_work(found, now)))
         };
-        if let Some(found) = only.as_ref().and_then(registration) {
-            return Some((found, None));
+        if let Some(registration) = only.as_ref().and_then(registration) {
+            return Ok(Target { registration, booked: None });
         }
-        if let Some(booked) = self.context.stewards.book(self.booking()).await {
-            return Some((booked.registration.clone(), Some(booked)));
+        match self.context.stewards.book(self.booking()).await {
+            Placement::Booked(booked) => {
+                let registration = booked.registration.clone();
+                return Ok(Target { registration, booked: Some(*booked) });
+            }
+            // A request that may have run is not refused any more.
+            Placement::Refused(refusal) if self.attempt.progress() == Progress::NotRun => {
+                self.retry_after = Some(refusal.retry_after);
+                return Err(Reason::Overloaded);
+            }
+            Placement::Refused(_) | Placement::Unknown => {}
         }
-        self.place(Instant::now()).map(|found| (found, None))
+        let found = self.place(Instant::now());
+        found.map(|registration| Target { registration, booked: None }).ok_or_else(|| {
+            match self.attempt.give_up() {
+                Next::RefuseNotRun => Reason::NoEndpoint,
+                _ => Reason::Unknown,
+            }
+        })
     }
 
     /// The engines of the request's service, where it is a service of engines.
@@ -318,6 +340,8 @@
             request: facts.id.clone(),
             program: self.route.kind.streams().then(|| facts.program.clone()).flatten(),
             service: self.service.clone(),
+            stage: self.stage,
+            time_left: facts.program_deadline,
             prompt: facts.parts.iter().take(MAX_PROMPT_PARTS).copied().collect(),
             memory: self.engine().map_or(0, |engine| engine.memory),
             avoid: self.attempt.refused_by().to_vec(),
@@ -429,6 +453,7 @@
     fn give_up(&self, reason: Reason) -> Response<Body> {
         let retry_after = match reason {
             Reason::NoEndpoint => self.context.retry_after(RETRY_NO_ENDPOINT),
+            Reason::Overloaded => self.retry_after,
             Reason::DeadlineNotRun | Reason::Stopping => self.context.retry_after(RETRY_ELSEWHERE),
             _ => None,
         };
--- a/crates/gateway/src/forward/visit.rs
+++ b/crates/gateway/src/forward/visit.rs
@@ -89,6 +89,8 @@
         booked: Option<Booked>,
         resume_after: Option<u64>,
     ) -> Result<Head, Next> {
+        // Behind others an answer is expected to be late.
+        let queued = booked.as_ref().is_some_and(|booked| booked.load >= 1.0);
         let visit = self.context.begin(&registration.id, booked);
         let now = Instant::now();
         let idle = self.context.pool.take(&registration, now);
@@ -111,7 +113,7 @@
         };
         self.attempt.send();
         let sent = Instant::now();
-        let error = match self.hear_head(&registration, link.send(order)).await {
+        let error = match self.hear_head(&registration, queued, link.send(order)).await {
             Some(Ok(Ok(response))) => return self.check(response, link, registration, visit),
             Some(Ok(Err(error))) => error,
             Some(Err(Quiet::Overdue | Quiet::Silent)) => upstream::Error::Silent,
@@ -134,19 +136,29 @@
     async fn hear_head<T>(
         &self,
         registration: &Registration,
+        queued: bool,
         heard: impl Future<Output = T>,
     ) -> Option<Result<T, Quiet>> {
         let mut heard = std::pin::pin!(self.hear(registration, heard));
-        let Some(patience) = self.patience else {
+        let Some(patience) = self.patience.filter(|_| !queued) else {
             return Some(heard.await);
         };
         match timeout(patience, heard.as_mut()).await {
             Ok(heard) => Some(heard),
-            Err(_) if self.context.with_repeats(retry::Budget::spend) => None,
+            Err(_) if self.may_repeat(registration) => None,
             Err(_) => Some(heard.await),
         }
     }
 
+    /// Tells whether a late request may be sent once more.
+    ///
+    /// Where its attempts are used up, it goes to the same endpoint, which must still take work.
+    fn may_repeat(&self, registration: &Registration) -> bool {
+        let takes_work =
+            self.context.view.fleet(|fleet| fleet.takes_work(registration, Instant::now()));
+        takes_work && self.context.with_repeats(retry::Budget::spend)
+    }
+
     /// Gives up a try whose answer is late, to send the request once more.
     fn repeat(&mut self, registration: &Registration, visit: Visit) -> Next {
         self.patience = None;
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -10,7 +10,7 @@
 use peer::gateway::{Answer, Ask, Drawn, Member, Settlement};
 use peer::wire::{self, Request};
 use sched::id::{ProgramId, VmId};
-use sched::spend::{self, Draw, Legacy, Record, Verdict};
+use sched::spend::{self, Decision, Draw, Legacy, Record, Verdict};
 use sched::term::{Founder, Origin, Roll, Silent};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -31,22 +31,22 @@
 const DRAW_TIMEOUT: Duration = Duration::from_millis(650);
 
 impl Desk {
-    /// Decides as the owner; `None` when the durable record cannot be reached.
-    pub async fn decide(self: &Arc<Self>, ask: &spend::Ask) -> Option<bool> {
+    /// Decides as the owner.
+    pub async fn decide(self: &Arc<Self>, ask: &spend::Ask) -> Decision {
         let origin = self.origin(ask).await;
         let verdict = match self.reserve_as(ask, origin) {
-            Verdict::Draw(_) => self.draw_and_reserve(ask, origin).await?,
-            verdict => verdict,
+            Verdict::Draw(_) => self.draw_and_reserve(ask, origin).await,
+            verdict => Some(verdict),
         };
         match verdict {
-            Verdict::Granted => Some(true),
-            Verdict::Exhausted => Some(false),
-            Verdict::Stop => {
+            Some(Verdict::Granted) => Decision::Granted(self.ledger().stage(&ask.program)),
+            Some(Verdict::Exhausted) => Decision::Exhausted,
+            Some(Verdict::Stop) => {
                 let (desk, ask) = (self.clone(), ask.clone());
                 tokio::spawn(async move { desk.stop(&ask).await });
-                Some(false)
+                Decision::Exhausted
             }
-            Verdict::Draw(_) => None,
+            Some(Verdict::Draw(_)) | None => Decision::Unknown,
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -34,22 +34,22 @@
             let desk = desk.clone();
             tokio::spawn(async move {
                 let mut decision = std::pin::pin!(desk.decide(&ask));
-                let granted = match timeout(PENDING_AFTER, decision.as_mut()).await {
-                    Ok(granted) => granted,
+                let decision = match timeout(PENDING_AFTER, decision.as_mut()).await {
+                    Ok(decision) => decision,
                     Err(_) => {
                         // An asker that has gone settles with its next reservation.
                         reply(&outbox, Answer::Pending).await;
                         decision.await
                     }
                 };
-                reply(&outbox, Answer::Reserved(granted)).await;
+                reply(&outbox, Answer::Reserved(decision)).await;
             });
         }
         Ask::Settle(settlement) => desk.settle(&settlement),
         Ask::Book { dc, ask } => {
-            let booking = stewards.decide(&dc, &ask, Instant::now());
+            let outcome = stewards.decide(&dc, &ask, Instant::now());
             // A booking whose asker has gone lapses.
-            tokio::spawn(async move { reply(&outbox, Answer::Booked(booking)).await });
+            tokio::spawn(async move { reply(&outbox, Answer::Booked(outcome)).await });
         }
         Ask::Release { request, endpoint, end } => stewards.end(&request, &endpoint, end),
         Ask::Inherit(program) => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -84,6 +84,9 @@
     /// Intervals and limits.
     #[serde(default)]
     pub limits: Limits,
+    /// Loads of endpoints up to which requests are taken on.
+    #[serde(default)]
+    pub admission: sched::admission::Limits,
 }
 
 impl Settings {
--- a/crates/gateway/src/stewards.rs
+++ b/crates/gateway/src/stewards.rs
@@ -10,9 +10,10 @@
 use crate::view::View;
 use peer::gateway::{Answer, Ask, Member};
 use peer::wire::{Reply, Request};
+use sched::admission::Refusal;
 use sched::fleet::Registration;
 use sched::id::RequestId;
-use sched::steward::{self, Board, Booking};
+use sched::steward::{self, Board, Booking, Outcome};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -39,7 +40,8 @@
     request: RequestId,
     /// The engine.
     pub registration: Registration,
-    load: f64,
+    /// Load of the engine before the booking, as a share of its slots.
+    pub load: f64,
     cost: f64,
     /// How the request ended.
     pub end: steward::End,
@@ -58,21 +60,63 @@
     }
 }
 
+/// Where a request goes.
+pub enum Placement {
+    /// To a booked endpoint.
+    Booked(Box<Booked>),
+    /// Nowhere; there is no room for it now.
+    Refused(Refusal),
+    /// No steward knows.
+    Unknown,
+}
+
+impl Placement {
+    /// Load of the booked endpoint.
+    fn load(&self) -> Option<f64> {
+        match self {
+            Self::Booked(booked) => Some(booked.load),
+            Self::Refused(_) | Self::Unknown => None,
+        }
+    }
+
+    /// Chooses between what two stewards offer, and ends the booking that is not used.
+    fn or_better(self, far: Self) -> Self {
+        match (self, far) {
+            (Self::Booked(near), Self::Booked(far)) => {
+                let (best, other) = match near.cost <= far.cost + REMOTE_COST {
+                    true => (near, far),
+                    false => (far, near),
+                };
+                other.unsent();
+                Self::Booked(best)
+            }
+            (booked @ Self::Booked(_), _) | (_, booked @ Self::Booked(_)) => booked,
+            (Self::Refused(near), Self::Refused(far)) => {
+                let retry_after = near.retry_after.min(far.retry_after);
+                Self::Refused(Refusal { retry_after })
+            }
+            (refused @ Self::Refused(_), _) | (_, refused @ Self::Refused(_)) => refused,
+            (Self::Unknown, Self::Unknown) => Self::Unknown,
+        }
+    }
+}
+
 impl Stewards {
     /// Prepares bookings.
     pub fn new(settings: Arc<Settings>, view: Arc<View>, desk: Arc<Desk>) -> Self {
-        Self { settings, view, desk, suspects: Suspects::default(), board: Mutex::default() }
+        let board = Mutex::new(Board::new(settings.admission));
+        Self { settings, view, desk, suspects: Suspects::default(), board }
     }
 
     fn board(&self) -> MutexGuard<'_, Board> {
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Books an engine; `None` when no steward answers with one.
-    pub async fn book(self: &Arc<Self>, ask: steward::Ask) -> Option<Booked> {
+    /// Books an endpoint, in the own data centre or in another one where that costs less.
+    pub async fn book(self: &Arc<Self>, ask: steward::Ask) -> Placement {
         let own = self.settings.dc.clone();
         let near = self.book_in(&own, &ask).await;
-        if near.as_ref().is_some_and(|booked| booked.load < BUSY_LOAD) {
+        if near.load().is_some_and(|load| load < BUSY_LOAD) {
             return near;
         }
         let others = self.view.fleet(|fleet| fleet.dcs(&ask.service));
@@ -80,41 +124,50 @@
         let Some(other) = fastrand::choice(others) else {
             return near;
         };
-        let far = self.book_in(&other, &ask).await;
-        match (near, far) {
-            (Some(near), Some(far)) if near.cost <= far.cost + REMOTE_COST => {
-                far.unsent();
-                Some(near)
-            }
-            (Some(near), Some(far)) => {
-                near.unsent();
-                Some(far)
-            }
-            (near, far) => far.or(near),
-        }
+        near.or_better(self.book_in(&other, &ask).await)
     }
 
-    async fn book_in(self: &Arc<Self>, dc: &str, ask: &steward::Ask) -> Option<Booked> {
+    async fn book_in(self: &Arc<Self>, dc: &str, ask: &steward::Ask) -> Placement {
         let now = Instant::now();
         let steward = self.view.with_members(|live| {
             members::steward(&ask.service, dc, live, &self.suspects, now).cloned()
-        })?;
-        let booking = match steward.vm == self.settings.vm {
-            true => self.decide(dc, ask, now),
+        });
+        let Some(steward) = steward else {
+            return Placement::Unknown;
+        };
+        let outcome = match steward.vm == self.settings.vm {
+            true => Some(self.decide(dc, ask, now)),
             false => self.ask_peer(&steward, dc, ask).await,
         };
-        let Booking { endpoint, load, cost } = booking?;
-        let registration = self.view.fleet(|fleet| fleet.registration(&endpoint))?;
-        let request = ask.request.clone();
+        match outcome {
+            Some(Outcome::Booked(booking)) => self.booked(steward, ask, booking),
+            Some(Outcome::Refused(refusal)) => Placement::Refused(refusal),
+            Some(Outcome::Nowhere) | None => Placement::Unknown,
+        }
+    }
+
+    fn booked(
+        self: &Arc<Self>,
+        steward: Member,
+        ask: &steward::Ask,
+        booking: Booking,
+    ) -> Placement {
+        let Booking { endpoint, load, cost } = booking;
+        // A booking of an endpoint that is not known here lapses.
+        let Some(registration) = self.view.fleet(|fleet| fleet.registration(&endpoint)) else {
+            return Placement::Unknown;
+        };
+        let (stewards, request) = (self.clone(), ask.request.clone());
         let end = steward::End::Done;
-        Some(Booked { stewards: self.clone(), steward, request, registration, load, cost, end })
+        let booked = Booked { stewards, steward, request, registration, load, cost, end };
+        Placement::Booked(Box::new(booked))
     }
 
-    async fn ask_peer(&self, steward: &Member, dc: &str, ask: &steward::Ask) -> Option<Booking> {
+    async fn ask_peer(&self, steward: &Member, dc: &str, ask: &steward::Ask) -> Option<Outcome> {
         let ask = Ask::Book { dc: dc.into(), ask: ask.clone() };
         let request = Request::Gateway(Box::new(ask));
         match self.desk.peers().ask(&steward.addr, &request, ASK_TIMEOUT).await {
-            Some(Reply::Gateway(Answer::Booked(booking))) => booking,
+            Some(Reply::Gateway(Answer::Booked(outcome))) => Some(outcome),
             _ => {
                 self.suspects.suspect(&steward.vm, Instant::now());
                 log::info!(target: "steward", steward = steward.vm.as_str(); "no answer in time");
@@ -124,7 +177,7 @@
     }
 
     /// Books as the steward.
-    pub fn decide(&self, dc: &str, ask: &steward::Ask, now: Instant) -> Option<Booking> {
+    pub fn decide(&self, dc: &str, ask: &steward::Ask, now: Instant) -> Outcome {
         let mut board = self.board();
         self.view.fleet(|fleet| board.book(fleet, dc, ask, now))
     }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -141,10 +141,10 @@
     Drawn(Drawn),
     /// What the asked member leaves of a program.
     Inherited(spend::Legacy),
-    /// The booked engine, `None` when there is none.
-    Booked(Option<steward::Booking>),
-    /// Whether a turn may run; `None` when the owner cannot tell.
-    Reserved(Option<bool>),
+    /// What became of a booking.
+    Booked(steward::Outcome),
+    /// Whether a turn may run.
+    Reserved(spend::Decision),
     /// The view; first frame for a follower, and again for one that fell behind.
     View {
         /// The view.
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs)]
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use sched::admission::Stage;
 use sched::fleet::{Fleet, Need, Registration, State};
 use sched::members;
 use sched::request::Part;
@@ -59,13 +60,15 @@
             request: "request".into(),
             program: Some("program".into()),
             service: "models".into(),
+            stage: Stage::Continues,
+            time_left: None,
             prompt: (1..=4).map(|id| Part { id, tokens: 500 }).collect(),
             memory: 60_000,
             avoid: Vec::new(),
         };
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
-                let booking = board.book(&fleet, "dc-a", &ask, now);
+                let booking = board.book(&fleet, "dc-a", &ask, now).booking();
                 if let Some(booking) = &booking {
                     board.release(&ask.request, &booking.endpoint, End::Done, now);
                 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,10 +7,11 @@
 //! * [`config`] is the operators' configuration, replayed from its numbered changes;
 //! * [`grant`] is the account ledger that several logs draw from;
 //! * [`queue`], [`place`], [`predict`] and [`health`] choose which call runs next, and where;
-//! * [`route`], [`request`], [`fleet`], [`prefix`], [`steward`], [`retry`], [`spend`]
-//!   and [`term`] serve requests that are routed by host and path;
+//! * [`route`], [`request`], [`fleet`], [`prefix`], [`steward`], [`admission`],
+//!   [`retry`], [`spend`] and [`term`] serve requests that are routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons.
 
+pub mod admission;
 pub mod attempt;
 pub mod call;
 pub mod config;
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -25,6 +25,7 @@
 //! An owner that does not know a program asks the member that owned it before, or stood in, and takes
 //! over all that it knows.
 
+use crate::admission::Stage;
 use crate::id::{ProgramId, RequestId, Tokens, VmId};
 use crate::term::{self, Incarnation, Origin, Roll, Silent};
 use indexmap::IndexMap;
@@ -106,6 +107,17 @@
     Draw(Draw),
 }
 
+/// What the owner answers to the daemon that serves the turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decision {
+    /// The turn is reserved; how far its program has come.
+    Granted(Stage),
+    /// The budget does not hold it.
+    Exhausted,
+    /// The owner needs the durable record and cannot reach it.
+    Unknown,
+}
+
 /// Tokens to add to a program's durable record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Draw {
@@ -507,6 +519,17 @@
         }
     }
 
+    /// How far a program has come, of which a turn has just been reserved.
+    ///
+    /// A program whose former owner was lost with all that it knew counts as one that begins.
+    pub fn stage(&self, program: &str) -> Stage {
+        let begins = |account: &Account| account.known() == 0 && account.reservations.len() <= 1;
+        match self.accounts.get(program).is_some_and(begins) {
+            true => Stage::Begins,
+            false => Stage::Continues,
+        }
+    }
+
     /// What is known of a program, for a log line.
     pub fn explain(&self, program: &str) -> Option<Standing> {
         let account = self.accounts.get(program)?;
--- a/crates/sched/src/steward.rs
+++ b/crates/sched/src/steward.rs
@@ -19,8 +19,9 @@
 //! that has failed several requests in a row fails all of them, as far as one can tell; it is shunned
 //! until its failures are some seconds old, and then one more request tells.
 
+use crate::admission::{self, Gate, Limits, Load, Refusal, Stage};
 use crate::fleet::{Candidate, Fleet, Registration};
-use crate::id::{EndpointId, ProgramId, RequestId, Tokens};
+use crate::id::{EndpointId, ProgramId, RequestId, ServiceId, Tokens};
 use crate::members;
 use crate::prefix::Cache;
 use crate::request::Part;
@@ -66,7 +67,11 @@
     /// Its program, for a turn of one.
     pub program: Option<ProgramId>,
     /// The service.
-    pub service: crate::id::ServiceId,
+    pub service: ServiceId,
+    /// How far its program has come.
+    pub stage: Stage,
+    /// Time within which its program should end.
+    pub time_left: Option<Duration>,
     /// Parts of its prompt, in order, as far as they are followed.
     pub prompt: Vec<Part>,
     /// Memory of one engine of the service, in tokens; 0 where it is not known.
@@ -86,6 +91,27 @@
     pub cost: f64,
 }
 
+/// What became of an ask.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// An endpoint is booked.
+    Booked(Booking),
+    /// The group has no room.
+    Refused(Refusal),
+    /// The steward knows no endpoint that the request could go to.
+    Nowhere,
+}
+
+impl Outcome {
+    /// The booking, where there is one.
+    pub fn booking(self) -> Option<Booking> {
+        match self {
+            Self::Booked(booking) => Some(booking),
+            Self::Refused(_) | Self::Nowhere => None,
+        }
+    }
+}
+
 /// How a booked request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
@@ -142,12 +168,49 @@
     tickets: IndexMap<RequestId, Ticket>,
     memories: IndexMap<EndpointId, Memory>,
     faults: IndexMap<EndpointId, Faults>,
+    /// Admission to the endpoints of each service.
+    gates: IndexMap<ServiceId, Gate>,
+    limits: Limits,
 }
 
 impl Board {
-    /// Books an engine of the data centre `dc`.
-    pub fn book(&mut self, fleet: &Fleet, dc: &str, ask: &Ask, now: Instant) -> Option<Booking> {
+    /// Starts without bookings.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, ..Self::default() }
+    }
+
+    /// Books an engine of the data centre `dc`, where the request is taken on.
+    pub fn book(&mut self, fleet: &Fleet, dc: &str, ask: &Ask, now: Instant) -> Outcome {
         self.unbook(&ask.request);
+        let Some(load) = self.group_load(fleet, dc, ask, now) else {
+            return Outcome::Nowhere;
+        };
+        let gate = self.gates.entry(ask.service.clone()).or_insert_with(|| Gate::new(self.limits));
+        let request = admission::Ask {
+            program: ask.program.as_ref(),
+            stage: ask.stage,
+            time_left: ask.time_left,
+        };
+        if let Err(refusal) = gate.admit(request, load, now) {
+            return Outcome::Refused(refusal);
+        }
+        self.choose(fleet, dc, ask, now).map_or(Outcome::Nowhere, Outcome::Booked)
+    }
+
+    /// Load of the endpoints that the ask could go to; `None` when there are none.
+    fn group_load(&self, fleet: &Fleet, dc: &str, ask: &Ask, now: Instant) -> Option<Load> {
+        let (mut booked, mut slots, mut least) = (0.0, 0.0, f64::INFINITY);
+        let usable = fleet.usable(&ask.service, now);
+        for Candidate { registration, .. } in usable.filter(|found| found.registration.dc == dc) {
+            let (load, room) = (self.load(registration), f64::from(registration.slots.max(1)));
+            booked += load * room;
+            slots += room;
+            least = load.min(least);
+        }
+        (slots > 0.0).then(|| Load { group: booked / slots, least })
+    }
+
+    fn choose(&mut self, fleet: &Fleet, dc: &str, ask: &Ask, now: Instant) -> Option<Booking> {
         let usable = fleet.usable(&ask.service, now).filter(|candidate| {
             candidate.registration.dc == dc && !ask.avoid.contains(&candidate.registration.id)
         });
--- a/crates/sched/tests/steward.rs
+++ b/crates/sched/tests/steward.rs
@@ -1,5 +1,6 @@
 //! Bookings of endpoints by their steward.
 
+use sched::admission::Stage;
 use sched::fleet::{Fleet, Registration, State};
 use sched::request::Part;
 use sched::steward::{Ask, Board, End};
@@ -30,6 +31,8 @@
         request: request.into(),
         program: program.map(Into::into),
         service: "s".into(),
+        stage: Stage::Continues,
+        time_left: None,
         prompt: Vec::new(),
         memory: 0,
         avoid: Vec::new(),
@@ -44,7 +47,7 @@
 
 /// Books a turn, ends it and returns its engine.
 fn play(board: &mut Board, fleet: &Fleet, ask: &Ask, now: Instant) -> sched::id::EndpointId {
-    let booking = board.book(fleet, "here", ask, now).expect("an engine");
+    let booking = board.book(fleet, "here", ask, now).booking().expect("an engine");
     board.release(&ask.request, &booking.endpoint, End::Done, now);
     booking.endpoint
 }
@@ -59,7 +62,7 @@
     let avoid = all_but(fleet, endpoint);
     for number in 0..count {
         let ask = Ask { avoid: avoid.clone(), ..ask(&format!("crowd-{number}"), None) };
-        board.book(fleet, "here", &ask, now).expect("an engine");
+        board.book(fleet, "here", &ask, now).booking().expect("an engine");
     }
 }
 
@@ -88,7 +91,7 @@
         rng.shuffle(&mut turns);
         let mut engines = Vec::new();
         for turn in &turns {
-            let booking = board.book(&fleet, "here", turn, now).expect("an engine");
+            let booking = board.book(&fleet, "here", turn, now).booking().expect("an engine");
             engines.push(booking.endpoint.clone());
             let cache = caches.entry(booking.endpoint).or_default();
             let hit = cache.kept(&turn.prompt);
@@ -105,8 +108,9 @@
 
 /// Books requests and returns the loads that they found.
 fn loads(board: &mut Board, fleet: &Fleet, count: usize, now: Instant) -> Vec<f64> {
-    let booked = (0..count)
-        .filter_map(|number| board.book(fleet, "here", &ask(&format!("r{number}"), None), now));
+    let booked = (0..count).filter_map(|number| {
+        board.book(fleet, "here", &ask(&format!("r{number}"), None), now).booking()
+    });
     booked.map(|booking| booking.load).collect()
 }
 
@@ -124,7 +128,8 @@
     for number in 0..600 {
         let now = start + Duration::from_millis(10 * number);
         let request = format!("f{number}");
-        let booking = board.book(fleet, "here", &ask(&request, None), now).expect("an endpoint");
+        let booking =
+            board.book(fleet, "here", &ask(&request, None), now).booking().expect("an endpoint");
         let at = fleet.usable("s", now).position(|found| found.registration.id == booking.endpoint);
         got[at.expect("an endpoint of the fleet")] += 1;
         under_way.push_back((request, booking.endpoint));
@@ -160,14 +165,14 @@
             for endpoint in ["e0", "e1"] {
                 let request = format!("{endpoint}-{number}");
                 let ask = Ask { avoid: all_but(&fleet, endpoint), ..ask(&request, None) };
-                board.book(&fleet, "here", &ask, now).expect("a booking");
+                board.book(&fleet, "here", &ask, now).booking().expect("a booking");
                 board.release(&request, endpoint, End::Failed, now);
             }
         }
         let mut turns = std::collections::BTreeMap::new();
         for number in 0..14 {
             let (request, program) = (format!("t{number}"), format!("p{number}"));
-            let booking = board.book(&fleet, "here", &ask(&request, Some(&program)), now);
+            let booking = board.book(&fleet, "here", &ask(&request, Some(&program)), now).booking();
             *turns.entry(booking.expect("a booking").endpoint).or_insert(0) += 1;
         }
         assert!(turns.values().all(|count| *count <= SLOTS), "{turns:?}");
@@ -232,7 +237,7 @@
         for agent in 0..u64::from(SLOTS) {
             let mut ask = turn(&format!("a{agent}"), 7, 2_000);
             ask.prompt.push(Part { id: 100 + agent, tokens: 300 });
-            let booking = board.book(&fleet, "here", &ask, now).expect("an engine");
+            let booking = board.book(&fleet, "here", &ask, now).booking().expect("an engine");
             assert_eq!(booking.endpoint, first);
         }
     }
@@ -257,7 +262,7 @@
 
     a_booking_that_was_not_used_tells_nothing_of_the_engine(now) {
         let (fleet, mut board) = (fleet(9), Board::default());
-        let unused = board.book(&fleet, "here", &turn("r0", 7, 3_000), now).expect("an engine");
+        let unused = board.book(&fleet, "here", &turn("r0", 7, 3_000), now).booking().expect("an engine");
         board.release("r0", &unused.endpoint, End::Unsent, now);
         crowd(&mut board, &fleet, &unused.endpoint, 1, now);
         assert_ne!(unused.endpoint, play(&mut board, &fleet, &turn("next", 7, 3_500), now));
@@ -268,13 +273,13 @@
 for number in 0..5 {
             let failed = format!("f{number}");
             let ask = Ask { avoid: all_but(&fleet, "e0"), ..ask(&failed, None) };
-            let booking = board.book(&fleet, "here", &ask, now).expect("an endpoint");
+            let booking = board.book(&fleet, "here", &ask, now).booking().expect("an endpoint");
             board.release(&failed, &booking.endpoint, End::Failed, now);
         }
         // The two others fill up and queue as long as their slots before it is asked.
         for number in 0..3 * SLOTS {
             let turn = turn(&format!("t{number}"), 100 + u64::from(number), 500);
-            assert_ne!(board.book(&fleet, "here", &turn, now).expect("an engine").endpoint, "e0");
+            assert_ne!(board.book(&fleet, "here", &turn, now).booking().expect("an engine").endpoint, "e0");
         }
         // One more request tells whether it is well again, and it gets its part then.
         let later = now + Duration::from_secs(8);
@@ -288,27 +293,27 @@
 
     a_release_that_comes_late_ends_the_former_booking(now) {
         let (fleet, mut board) = (fleet(2), Board::default());
-        let first = board.book(&fleet, "here", &ask("r0", None), now).expect("an endpoint");
+        let first = board.book(&fleet, "here", &ask("r0", None), now).booking().expect("an endpoint");
         let avoid = vec![first.endpoint.clone()];
         let second = Ask { avoid, ..ask("r0", None) };
-        let second = board.book(&fleet, "here", &second, now).expect("an endpoint");
+        let second = board.book(&fleet, "here", &second, now).booking().expect("an endpoint");
         board.release("r0", &first.endpoint, End::Failed, now);
         assert_eq!(board.len(), 1, "the second booking stands");
-        let next = board.book(&fleet, "here", &ask("r1", None), now).expect("an endpoint");
+        let next = board.book(&fleet, "here", &ask("r1", None), now).booking().expect("an endpoint");
         assert_eq!(next.endpoint, second.endpoint, "the failure is the first endpoint's");
     }
 
     a_success_ends_a_row_of_failures(now) {
         let (fleet, mut board) = (fleet(1), Board::default());
-        let free = board.book(&fleet, "here", &ask("r", None), now).expect("an endpoint").cost;
+        let free = board.book(&fleet, "here", &ask("r", None), now).booking().expect("an endpoint").cost;
         for number in 0..6 {
             let request = format!("f{number}");
-            board.book(&fleet, "here", &ask(&request, None), now);
+            board.book(&fleet, "here", &ask(&request, None), now).booking();
             let end = if number % 3 == 2 { End::Done } else { End::Failed };
             board.release(&request, "e0", end, now);
         }
         board.release("r", "e0", End::Done, now);
-        let cost = board.book(&fleet, "here", &ask("last", None), now).expect("an endpoint").cost;
+        let cost = board.book(&fleet, "here", &ask("last", None), now).booking().expect("an endpoint").cost;
         assert!(cost < free + 2.0, "{free} {cost}");
     }
 
@@ -319,7 +324,7 @@
         for number in 0..3 {
             let failed = format!("f{number}");
             let ask = Ask { avoid: vec![other.into()], ..ask(&failed, None) };
-            let booking = board.book(&fleet, "here", &ask, now).expect("an engine");
+            let booking = board.book(&fleet, "here", &ask, now).booking().expect("an engine");
             board.release(&failed, &booking.endpoint, End::Failed, now);
         }
         assert_eq!(play(&mut board, &fleet, &turn("next", 7, 3_500), now), other);
@@ -333,16 +338,16 @@
 
     a_released_booking_leaves_room(now) {
         let (fleet, mut board) = (fleet(1), Board::default());
-        board.book(&fleet, "here", &ask("r0", None), now);
+        board.book(&fleet, "here", &ask("r0", None), now).booking();
         board.release("r0", "e0", End::Done, now);
         board.release("r0", "e0", End::Done, now);
-        let booking = board.book(&fleet, "here", &ask("r1", None), now).expect("an engine");
+        let booking = board.book(&fleet, "here", &ask("r1", None), now).booking().expect("an engine");
         assert!(booking.load.abs() < f64::EPSILON);
     }
 
     a_booking_of_a_lost_daemon_lapses(now) {
         let (fleet, mut board) = (fleet(1), Board::default());
-        board.book(&fleet, "here", &ask("r0", None), now);
+        board.book(&fleet, "here", &ask("r0", None), now).booking();
         board.sweep(now + Duration::from_secs(1));
         assert_eq!(board.len(), 1);
         board.sweep(now + Duration::from_secs(30));
@@ -353,12 +358,12 @@
         let (mut fleet, mut board) = (fleet(2), Board::default());
         fleet.fail("e0", now);
         for number in 0..4 {
-            let booking = board.book(&fleet, "here", &ask(&format!("r{number}"), None), now);
+            let booking = board.book(&fleet, "here", &ask(&format!("r{number}"), None), now).booking();
             assert_eq!(booking.expect("an engine").endpoint, "e1");
         }
     }
 
     another_data_centre_has_another_steward(now) {
-        assert!(Board::default().book(&fleet(2), "there", &ask("r0", None), now).is_none());
+        assert!(Board::default().book(&fleet(2), "there", &ask("r0", None), now).booking().is_none());
     }
 }
--- a/crates/testing/src/gate.rs
+++ b/crates/testing/src/gate.rs
@@ -201,6 +201,7 @@
             kv: self.kv.url().into(),
             cluster_key: "key-of-the-gate-tests".to_owned(),
             cpu_share: 1.0,
+            admission: sched::admission::Limits::default(),
             first_start: true,
             limits: Limits { lease_ttl_ms: 2_000, ..Limits::default() },
         }
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod kv;
 pub mod load;
 pub mod net;
+pub mod overload;
 pub mod process;
 pub mod program;
 pub mod proxy;
