--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! One request on its way from a client to an endpoint and back.
 
+mod answers;
 mod visit;
 
 pub use visit::{Quiet, Visit};
@@ -14,7 +15,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, Method, Response, Uri};
-use http_body_util::{BodyExt, Limited, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use platform::header;
 use sched::admission::Stage;
@@ -37,8 +38,6 @@
 /// Time after which a turn is worth sending again when the key-value service is away; outages last for
 /// seconds, and a client that comes back at once has soon used up its tries.
 const RETRY_RECORD: Duration = Duration::from_millis(1_200);
-/// Longest answer that is read before it is passed on, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Time before the end of the wait at which the last answer is given.
 const LAST_ANSWER: Duration = Duration::from_millis(15);
 /// Parts of a prompt that a steward follows; a line of turns has a few, however long it is.
@@ -58,6 +57,7 @@
     pub desk: Arc<Desk>,
     /// Bookings of engines.
     pub stewards: Arc<Stewards>,
+    answers: answers::Room,
     repeats: Mutex<retry::Budget>,
     rng: Mutex<fastrand::Rng>,
 }
@@ -67,8 +67,8 @@
     pub fn new(settings: Arc<Settings>, view: Arc<View>, desk: Arc<Desk>) -> Self {
         let rng = Mutex::new(fastrand::Rng::new());
         let stewards = Arc::new(Stewards::new(settings.clone(), view.clone(), desk.clone()));
-        let pool = Arc::default();
-        Self { settings, view, pool, desk, stewards, repeats: Mutex::default(), rng }
+        let (pool, answers, repeats) = (Arc::default(), answers::Room::default(), Mutex::default());
+        Self { settings, view, pool, desk, stewards, answers, repeats, rng }
     }
 
     fn with_rng<R>(&self, draw: impl FnOnce(&mut fastrand::Rng) -> R) -> R {
@@ -368,7 +368,7 @@
         let Head { response, link, registration, visit } = head;
         let (parts, body) = response.into_parts();
         let due = tokio::time::Instant::from_std(self.due());
-        let collected = timeout_at(due, Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
+        let collected = timeout_at(due, self.context.answers.collect(body)).await;
         match &collected {
             Ok(Ok(_)) => drop(visit),
             Ok(Err(_)) | Err(_) => visit.fail(),
@@ -380,7 +380,7 @@
                     let share = self.idle_share();
                     self.context.pool.keep(link, keep_alive, share, Instant::now());
                 }
-                let mut answer = Response::new(answer::full(collected.to_bytes()));
+                let mut answer = Response::new(answer::full(collected));
                 *answer.status_mut() = parts.status;
                 *answer.headers_mut() = header::end_to_end(&parts.headers);
                 Ok(self.passed_on(answer))
--- a/crates/testing/src/kv.rs
+++ b/crates/testing/src/kv.rs
@@ -212,6 +212,11 @@
         Self { server, counts }
     }
 
+    /// Writes so far that took effect or failed their guard.
+    pub fn writes(&self) -> u64 {
+        self.counts.writes.load(Ordering::Relaxed)
+    }
+
     /// Address for clients.
     pub fn url(&self) -> String {
         format!("http://{}", self.server.addr)
@@ -321,6 +326,13 @@
     answer(&json!({ "items": items, "has_more": has_more, "store_revision": store.revision }))
 }
 
+/// The present items of the keys that a transaction guards.
+fn found(store: &Store, body: &Value) -> (ContentType, String) {
+    let keys = list(body, "expected_rev").iter().map(|guard| text(&guard["key"]));
+    let items = keys.filter_map(|key| Some(item_json(key, store.items.get(key)?)));
+    (ContentType::JSON, json!({ "items": items.collect::<Vec<_>>() }).to_string())
+}
+
 /// Tells which status keeps a transaction from taking effect.
 fn refusal(store: &Store, body: &Value) -> Option<Status> {
     let guards = list(body, "expected_rev");
@@ -337,7 +349,7 @@
 }
 
 #[post("/kv-txn", data = "<body>")]
-async fn txn(app: &App, body: Data<'_>) -> Answer {
+async fn txn(app: &App, body: Data<'_>) -> Result<(Status, (ContentType, String)), Status> {
     let body = read_body(body).await?;
     admit(app, true).await?;
     let puts: Vec<(String, Vec<u8>, u64)> = list(&body, "puts")
@@ -356,8 +368,12 @@
     }
     let revision = {
         let mut store = app.lock();
-        if let Some(status) = refusal(&store, &body) {
-            return Err(status);
+        match refusal(&store, &body) {
+            Some(Status::PreconditionFailed) => {
+                return Ok((Status::PreconditionFailed, found(&store, &body)));
+            }
+            Some(status) => return Err(status),
+            None => {}
         }
         for (key, value, lease) in puts {
             app.counts.bytes.fetch_add(value.len() as u64, Ordering::Relaxed);
@@ -372,7 +388,7 @@
     if answer_lost(app) {
         return Err(Status::GatewayTimeout);
     }
-    answer(&json!({ "revision": revision }))
+    Ok((Status::Ok, answer(&json!({ "revision": revision }))?))
 }
 
 #[post("/kv-lease", data = "<body>")]
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -36,6 +36,11 @@
         Self { child, name: name.to_owned() }
     }
 
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         // A process that has ended already needs no signal.
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -49,6 +49,12 @@
     Truncated,
     /// With bytes that are no answer.
     Garbage,
+    /// With a head that never ends.
+    EndlessHead,
+    /// With a body that never ends.
+    EndlessBody,
+    /// With a stream whose first event never ends.
+    EndlessEvent,
     /// Not at all.
     Silent,
     /// By resetting the connection without running the request, as an endpoint that is down does.
@@ -196,6 +202,19 @@
                 self.send(stream, b"\x00\x01nothing that a server says\r\n\r\n").await?;
                 Ok(false)
             }
+            Act::EndlessHead => {
+                let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n", run.id);
+                self.flood(stream, run, &head, "X-More: and more of it, without end\r\n").await
+            }
+            Act::EndlessBody => {
+                let head = head(&run.id, "Content-Type: text/plain");
+                self.flood(stream, run, &head, &chunk(&"more of it, without end ".repeat(40))).await
+            }
+            Act::EndlessEvent => {
+                let head = head(&run.id, "Content-Type: text/event-stream");
+                self.flood(stream, run, &head, &chunk(&"data: more, without end\n".repeat(40)))
+                    .await
+            }
             Act::Silent => {
                 self.pause(stream, run, Duration::from_secs(60)).await?;
                 Ok(false)
@@ -208,6 +227,20 @@
         Ok(true)
     }
 
+    /// Sends the same text again and again until the other side closes the connection.
+    async fn flood(
+        &self,
+        stream: &mut TcpStream,
+        run: &Run,
+        head: &str,
+        more: &str,
+    ) -> std::io::Result<bool> {
+        stream.write_all(head.as_bytes()).await?;
+        while stream.write_all(more.as_bytes()).await.is_ok() {}
+        self.lock().abandoned.push((run.id.clone(), Instant::now()));
+        Ok(false)
+    }
+
     /// Waits; returns whether the other side closed the connection meanwhile.
     async fn pause(
         &self,
@@ -256,6 +289,14 @@
     }
 }
 
+/// Head of an answer whose body comes in chunks.
+fn head(id: &str, header: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig.{id}\r\n{header}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
