Call the key-value service less often in a large fleet

After the loss of all founders each program draws by a call of its own (2,545 transactions). Draws now go to a writer, which waits 80 ms for others and makes up to 15 in one call (gateway::draws); a conflict tells what others wrote, so the second try needs no reading. An owner that no writer answers draws itself. While the service is busy, all 259 daemons list it again and again (3,133 listings). A daemon whose peers answer leaves the service to the delegates for up to 8 ms for each member, a daemon that starts again waits 200 ms for its seeds, the directory is not called where the configuration was refused, and listings may be stale, since the watch after them brings what they miss. 3. A follower whose feed begins anew got the whole view each time, every 100 ms while no delegate watches: 0.231 GB between data centres. Delegates are one in 48 and call every 250 ms; member keys are written without reading them first; refused registrations back off. Joint draws kept their window only until the first call ended; leases are renewed at half of their life.

Ruled out: leases shared by daemons (one loss would lapse all).

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,7 +7,7 @@
 
 use crate::desk::Desk;
 use crate::flights::Flights;
-use crate::follow::{FEEDS, FIRST_FEED, Follower, Part, Sources};
+use crate::follow::{FEEDS, FIRST_FEED, Follower, NEXT_FEED, Part, Sources};
 use crate::forward::Context as Shared;
 use crate::ingress::{self, Phase};
 use crate::members;
@@ -20,7 +20,7 @@
 use crate::view::View;
 use anyhow::{Context, Result};
 use peer::gateway::Member;
-use platform::kv::{Client, Error, LeaseId, Swap};
+use platform::kv::{Client, Error, LeaseId};
 use sched::term::Incarnation;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,6 +35,8 @@
 const TRIM_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause before a failed registration is tried again.
 const REGISTER_RETRY: Duration = Duration::from_millis(500);
+/// Longest pause of that; a service that turns many away is not called more often for it.
+const REGISTER_RETRY_MAX: Duration = Duration::from_secs(3);
 
 /// Runs a gateway until SIGTERM or SIGINT.
 ///
@@ -53,8 +55,7 @@
     let kv = Client::new(&settings.kv, bound).context("key-value client")?;
     let view = Arc::new(View::default());
     let desk = Arc::new(Desk::new(settings.clone(), view.clone(), kv.clone()));
-    // A daemon that comes back is waited for, so it asks the key-value service at once.
-    let patience = if settings.first_start { FIRST_FEED } else { Duration::ZERO };
+    let patience = if settings.first_start { FIRST_FEED } else { NEXT_FEED };
     let sources = Arc::new(Sources::new(Instant::now() + patience));
     let phase = watch::Sender::new(Phase::Serving);
     let flights = Flights::default();
@@ -190,11 +191,17 @@
         incarnation,
         cpu: (settings.cpu_share * 1_000.0) as u32,
     };
+    let mut pause = REGISTER_RETRY;
     loop {
+        let begun = Instant::now();
         if let Err(error) = hold_lease(&settings, &kv, &member).await {
             log::debug!(target: "member", "the member key is not held: {error}");
         }
-        sleep(REGISTER_RETRY.mul_f64(0.5 + fastrand::f64())).await;
+        pause = match begun.elapsed() >= REGISTER_RETRY_MAX {
+            true => REGISTER_RETRY,
+            false => (pause * 2).min(REGISTER_RETRY_MAX),
+        };
+        sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
     }
 }
 
@@ -203,14 +210,18 @@
     let lease = kv.grant(ttl).await?;
     register(kv, member, lease).await?;
     let mut renewed = Instant::now();
+    let mut pause = ttl / 2;
     loop {
-        sleep(ttl / 3).await;
-        match kv.keep_alive(lease).await {
-            Ok(()) => renewed = Instant::now(),
+        sleep(pause).await;
+        pause = match kv.keep_alive(lease).await {
+            Ok(()) => {
+                renewed = Instant::now();
+                ttl / 2
+            }
             Err(Error::LeaseLapsed) => return Err(Error::LeaseLapsed),
             Err(error) if renewed.elapsed() >= ttl => return Err(error),
-            Err(_) => {}
-        }
+            Err(_) => ttl / 8,
+        };
     }
 }
 
@@ -218,13 +229,5 @@
 async fn register(kv: &Client, member: &Member, lease: LeaseId) -> Result<(), Error> {
     let key = members::key(&member.vm);
     let value = serde_json::to_vec(member).map_err(|error| Error::Malformed(error.to_string()))?;
-    if let Swap::Done(_) = kv.create(&key, &value, Some(lease)).await? {
-        return Ok(());
-    }
-    let found = kv.get(&key).await?;
-    let revision = found.map_or(0, |entry| entry.revision);
-    match kv.swap(&key, &value, revision, Some(lease)).await? {
-        Swap::Done(_) => Ok(()),
-        Swap::Conflict => Err(Error::Refused("the member key changed meanwhile".to_owned())),
-    }
+    kv.put(&key, &value, Some(lease)).await
 }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -1,5 +1,6 @@
 //! Reservations of programs' budgets, as the daemon that serves their turns.
 
+use crate::draws::Draws;
 use crate::members::{self, Suspects};
 use crate::records::Records;
 use crate::settings::{Settings, millis};
@@ -58,6 +59,8 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) view: Arc<View>,
     pub(crate) records: Records,
+    /// Draws that wait to be made together.
+    pub(crate) joint: Draws,
     /// Held while a program draws, so that its parallel turns do not draw one after the other.
     pub(crate) draws: [tokio::sync::Mutex<()>; STRIPES],
     /// Held while an owner learns what others know of a program.
@@ -84,6 +87,7 @@
             settings,
             view,
             records,
+            joint: Draws::default(),
             draws: std::array::from_fn(|_| tokio::sync::Mutex::default()),
             takeovers: std::array::from_fn(|_| tokio::sync::Mutex::default()),
             peers,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,7 +16,7 @@
 use indexmap::IndexMap;
 use peer::gateway::{Answer, Ask, Change, Member};
 use peer::wire::{Reply, Request};
-use platform::kv::{Client, Entry, Error, Event};
+use platform::kv::{Client, Entry, Error, Event, Listing};
 use platform::{config, registry};
 use sched::fleet::Registration;
 use sched::id::VmId;
@@ -37,13 +37,25 @@
 /// Shortest time between two calls of the watch of endpoints and members.
 ///
 /// Changes come in bursts when daemons or endpoints restart together; a call takes all of a burst.
-const WATCH_INTERVAL: Duration = Duration::from_millis(150);
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Silence after which a delegate does not count as heard.
 const FEED_SILENCE: Duration = Duration::from_millis(900);
+/// Silence after which no peer counts as answering.
+const PEER_SILENCE: Duration = Duration::from_secs(2);
+/// Longest time, for each member, that a daemon leaves to others before it calls the service itself.
+///
+/// The daemons of a large fleet that call a service which is down or busy keep it so.
+const DEFERENCE: Duration = Duration::from_millis(8);
+/// Members that are assumed while none are known.
+const ASSUMED_MEMBERS: usize = 60;
+/// Time that seeds have to be heard when one daemon starts again.
+pub const NEXT_FEED: Duration = Duration::from_millis(200);
 /// Time that delegates have to be heard when all daemons start together.
 pub const FIRST_FEED: Duration = Duration::from_millis(500);
 /// Interval of looks whether this daemon has to watch.
 const ROLE_CHECK: Duration = Duration::from_millis(200);
+/// Interval of looks whether the part before is watched.
+const TURN_CHECK: Duration = Duration::from_millis(10);
 /// Pause before another delegate is followed.
 const FEED_RETRY: Duration = Duration::from_millis(100);
 /// Delegates that each daemon follows.
@@ -52,6 +64,8 @@
 /// Where the view comes from at present.
 pub struct Sources {
     feeds_expected: Instant,
+    /// When a peer answered last, whether or not it watches the service.
+    answered: Mutex<Option<Instant>>,
     watching: [AtomicBool; 2],
     heard: Mutex<[Option<Instant>; FEEDS]>,
 }
@@ -59,7 +73,12 @@
 impl Sources {
     /// Starts without any source; delegates are waited for until `feeds_expected`.
     pub fn new(feeds_expected: Instant) -> Self {
-        Self { feeds_expected, watching: Default::default(), heard: Mutex::default() }
+        Self {
+            feeds_expected,
+            answered: Mutex::default(),
+            watching: Default::default(),
+            heard: Mutex::default(),
+        }
     }
 
     /// Tells whether this daemon watches the key-value service and is answered.
@@ -71,6 +90,16 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn note_answer(&self, now: Instant) {
+        *self.answered.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    }
+
+    /// Tells whether peers answer, which hear of the service as soon as it serves a delegate.
+    fn has_peers(&self, now: Instant) -> bool {
+        let answered = *self.answered.lock().unwrap_or_else(PoisonError::into_inner);
+        answered.is_some_and(|at| now.duration_since(at) < PEER_SILENCE)
+    }
+
     /// Tells whether a delegate that watches the service has been heard lately.
     fn fed(&self, now: Instant) -> bool {
         if now < self.feeds_expected {
@@ -80,6 +109,19 @@
         heard.iter().flatten().any(|at| now.duration_since(*at) < FEED_SILENCE)
     }
 
+    /// Waits until the part before this one is watched, so that a service that turns this daemon away
+    /// is called once, not once for each part.
+    async fn await_turn(&self, part: Part) {
+        let before = match part {
+            Part::Configuration => return,
+            Part::Directory => &self.watching[Part::Configuration as usize],
+        };
+        let until = Instant::now() + RETRY_MAX_OTHERS;
+        while !before.load(Ordering::Relaxed) && Instant::now() < until {
+            sleep(TURN_CHECK).await;
+        }
+    }
+
     fn set(&self, part: Part, watching: bool, why: &str) {
         let before = self.watching[part as usize].swap(watching, Ordering::Relaxed);
         if before != watching {
@@ -126,11 +168,12 @@
 impl Follower {
     /// Keeps one part of the view up to date while this daemon has to watch it.
     pub async fn keep(self, part: Part) {
-        let mut pause = RETRY;
+        let mut pause = self.first_pause();
         loop {
-            while !self.has_to_watch(Instant::now()) {
+            while !self.has_to_watch(Instant::now()) || self.defers().await {
                 sleep(ROLE_CHECK).await;
             }
+            self.sources.await_turn(part).await;
             if let Err(error) = self.watch(part, &mut pause).await {
                 if matches!(error, Error::Compacted) {
                     continue;
@@ -144,13 +187,13 @@
 
     /// Watches until the service fails or this daemon need not watch any more.
     async fn watch(&self, part: Part, pause: &mut Duration) -> Result<(), Error> {
-        let listing = self.kv.list(part.prefix(), "").await?;
+        let listing = self.list(part).await?;
         match part {
             Part::Configuration => listing.entries.iter().for_each(|entry| self.configure(entry)),
             Part::Directory => self.replace(&listing.entries, listing.revision),
         }
         self.sources.set(part, true, "the key-value service answers");
-        *pause = RETRY;
+        *pause = self.first_pause();
         let mut after = listing.revision;
         while self.has_to_watch(Instant::now()) {
             let asked = Instant::now();
@@ -165,6 +208,16 @@
         Ok(())
     }
 
+    /// Lists a part. The first call of the watch brings what a stale reading misses; one that is older
+    /// than what is known here already is not used.
+    async fn list(&self, part: Part) -> Result<Listing, Error> {
+        let listing = self.kv.list_stale(part.prefix()).await?;
+        match listing.revision < self.view.revision() {
+            true => self.kv.list(part.prefix(), "").await,
+            false => Ok(listing),
+        }
+    }
+
     fn has_to_watch(&self, now: Instant) -> bool {
         self.is_delegate() || !self.sources.fed(now)
     }
@@ -173,10 +226,33 @@
         self.delegates().contains(&self.settings.public_addr())
     }
 
+    /// Leaves the service to the delegates and to other daemons for a moment; tells whether one of
+    /// them watches it by then.
+    async fn defers(&self) -> bool {
+        if self.is_delegate() || !self.sources.has_peers(Instant::now()) {
+            return false;
+        }
+        sleep(self.deference().mul_f64(fastrand::f64())).await;
+        !self.has_to_watch(Instant::now())
+    }
+
+    fn deference(&self) -> Duration {
+        let members = self.view.with_members(IndexMap::len);
+        let members = if members == 0 { ASSUMED_MEMBERS } else { members };
+        DEFERENCE * u32::try_from(members).unwrap_or(u32::MAX)
+    }
+
+    fn first_pause(&self) -> Duration {
+        match self.is_delegate() {
+            true => RETRY,
+            false => RETRY.max(self.deference() / 2),
+        }
+    }
+
     fn longest_pause(&self) -> Duration {
         match self.is_delegate() {
             true => RETRY_MAX,
-            false => RETRY_MAX_OTHERS,
+            false => RETRY_MAX_OTHERS.max(self.deference() * 2),
         }
     }
 
@@ -265,7 +341,8 @@
     /// Follows a peer until it is silent, or does not watch while others might.
     async fn follow(&self, addr: &str, slot: usize) {
         let version = self.view.table().map(|table| table.version);
-        let request = Request::Gateway(Box::new(Ask::Follow { version }));
+        let revision = self.view.revision();
+        let request = Request::Gateway(Box::new(Ask::Follow { version, revision }));
         let bound = millis(self.settings.limits.peer_timeout_ms);
         let Ok(Ok(mut replies)) = timeout(bound, self.desk.peers().call(addr, &request)).await
         else {
@@ -279,6 +356,7 @@
                 return;
             };
             let now = Instant::now();
+            self.sources.note_answer(now);
             let watching = match answer {
                 Answer::View { view, watching } => {
                     self.view.merge(*view, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 //! * [`follow`] keeps the view up to date from the key-value service, and from peers when the
 //!   service turns this daemon away;
 //! * [`desk`] reserves tokens of programs' budgets, [`owner`] decides on them, [`records`] keeps what
-//!   of them must last;
+//!   of them must last, [`draws`] makes many changes of it in one call;
 //! * [`stewards`] books engines, so that daemons do not crowd some while others have room;
 //! * [`retire`] answers requests to empty a storage VM;
 //! * [`probes`] answers readiness and metrics, which [`recorder`] keeps, [`signals`] takes the
@@ -23,6 +23,7 @@
 pub mod answer;
 pub mod daemon;
 pub mod desk;
+pub mod draws;
 pub mod flights;
 pub mod follow;
 pub mod forward;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -84,7 +84,7 @@
 /// Delegates of a small fleet.
 const MIN_DELEGATES: usize = 3;
 /// Followers that one delegate serves in a large fleet.
-const FOLLOWERS_PER_DELEGATE: usize = 24;
+const FOLLOWERS_PER_DELEGATE: usize = 48;
 
 /// Addresses of the members that watch the key-value service for the others.
 pub fn delegates(live: &IndexMap<VmId, Member>) -> Vec<CompactString> {
@@ -94,6 +94,23 @@
     ranked.into_iter().take(count).map(|member| member.addr.clone()).collect()
 }
 
+/// Daemons for which one writer draws.
+const DAEMONS_PER_WRITER: usize = 400;
+
+/// The member that draws from `program`'s record for its owner, together with other draws.
+pub fn writer<'a>(
+    program: &str,
+    live: &'a IndexMap<VmId, Member>,
+    suspects: &Suspects,
+    now: Instant,
+) -> Option<&'a Member> {
+    let count = 1 + live.len() / DAEMONS_PER_WRITER;
+    let mut ranked: Vec<&Member> =
+        live.values().filter(|member| !suspects.contains(&member.vm, now)).collect();
+    ranked.sort_by_key(|member| std::cmp::Reverse(members::weight(&"writer", &member.vm)));
+    ranked.get(stripe(program, count)).copied()
+}
+
 /// Number of the stripe, among `count`, that a program belongs to.
 pub fn stripe(program: &str, count: usize) -> usize {
     (members::weight(&program, "") % count as u64) as usize
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -6,6 +6,7 @@
 //! away and serve others.
 
 use crate::desk::Desk;
+use crate::draws;
 use crate::members;
 use peer::gateway::{Answer, Ask, Drawn, Member, Settlement};
 use peer::wire::{self, Request};
@@ -178,7 +179,11 @@
     }
 
     /// Draws until the turn may run or must not; `None` when the record cannot be reached.
-    async fn draw_and_reserve(&self, ask: &spend::Ask, origin: Origin) -> Option<Verdict> {
+    async fn draw_and_reserve(
+        self: &Arc<Self>,
+        ask: &spend::Ask,
+        origin: Origin,
+    ) -> Option<Verdict> {
         let stripe = members::stripe(&ask.program, self.draws.len());
         let _held = self.draws[stripe].lock().await;
         for _ in 0..MAX_DRAWS {
@@ -187,8 +192,8 @@
             let Verdict::Draw(draw) = verdict else {
                 return Some(verdict);
             };
-            let drawn = match self.draw(ask, self.process(), draw).await {
-                Drawn::Unreachable => self.draw_elsewhere(ask, draw).await,
+            let drawn = match self.draw_by_writer(ask, draw).await {
+                Drawn::Unreachable => self.draw_alone(ask, draw).await,
                 drawn => drawn,
             };
             match drawn {
@@ -235,8 +240,40 @@
         }
     }
 
-    /// Draws through another daemon, which the key-value service may still serve.
-    async fn draw_elsewhere(&self, ask: &spend::Ask, draw: Draw) -> Drawn {
+    /// Draws through the program's writer, together with others.
+    async fn draw_by_writer(self: &Arc<Self>, ask: &spend::Ask, draw: Draw) -> Drawn {
+        let now = Instant::now();
+        let writer = self
+            .view
+            .with_members(|live| members::writer(&ask.program, live, &self.suspects, now).cloned());
+        let (ask, owner) = (ask.clone(), self.process().clone());
+        match writer {
+            Some(writer) if writer.vm != self.settings.vm => {
+                self.ask_to_draw(&writer, draws::Draw { ask, owner, draw }).await
+            }
+            _ => self.draw_jointly(draws::Draw { ask, owner, draw }).await,
+        }
+    }
+
+    async fn ask_to_draw(&self, other: &Member, draw: draws::Draw) -> Drawn {
+        let draws::Draw { ask, owner, draw } = draw;
+        let request = Request::Gateway(Box::new(Ask::Draw { ask, owner, draw }));
+        match self.peers.ask(&other.addr, &request, DRAW_TIMEOUT).await {
+            Some(wire::Reply::Gateway(Answer::Drawn(drawn))) => drawn,
+            // A draw whose answer is lost is found by the next try.
+            _ => {
+                self.suspects.suspect(&other.vm, Instant::now());
+                Drawn::Unreachable
+            }
+        }
+    }
+
+    /// Draws by itself, or else through another daemon, which the key-value service may still serve.
+    async fn draw_alone(&self, ask: &spend::Ask, draw: Draw) -> Drawn {
+        let drawn = self.draw(ask, self.process(), draw).await;
+        if drawn != Drawn::Unreachable {
+            return drawn;
+        }
         let others = self.view.with_members(|live| {
             let others = live.values().filter(|member| member.vm != self.settings.vm);
             others.cloned().collect::<Vec<Member>>()
@@ -245,12 +282,7 @@
             return Drawn::Unreachable;
         };
         let (ask, owner) = (ask.clone(), self.process().clone());
-        let request = Request::Gateway(Box::new(Ask::Draw { ask, owner, draw }));
-        match self.peers.ask(&other.addr, &request, DRAW_TIMEOUT).await {
-            Some(wire::Reply::Gateway(Answer::Drawn(drawn))) => drawn,
-            // A draw whose answer is lost is found by the next try.
-            _ => Drawn::Unreachable,
-        }
+        self.ask_to_draw(&other, draws::Draw { ask, owner, draw }).await
     }
 
     /// Settles as the owner.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! Answers to other gateways.
 
 use crate::desk::Desk;
+use crate::draws::Draw;
 use crate::follow::Sources;
 use crate::stewards::Stewards;
 use crate::view::{Cursor, News, View};
@@ -60,13 +61,13 @@
         Ask::Draw { ask, owner, draw } => {
             let desk = desk.clone();
             tokio::spawn(async move {
-                let drawn = desk.draw(&ask, &owner, draw).await;
+                let drawn = desk.draw_jointly(Draw { ask, owner, draw }).await;
                 // What was drawn for an asker that has gone stays unused.
                 reply(&outbox, Answer::Drawn(drawn)).await;
             });
         }
-        Ask::Follow { version } => {
-            let cursor = Cursor::new(version);
+        Ask::Follow { version, revision } => {
+            let cursor = Cursor::new(version, revision);
             tokio::spawn(follow(cursor, outbox, view.clone(), sources.clone()));
         }
     }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -10,7 +10,7 @@
 use crate::members;
 use crate::view::View;
 use indexmap::IndexMap;
-use platform::kv::{self, Client, Entry, Error, Revision, Swap};
+use platform::kv::{self, Client, Entry, Error, Revision, Swaps};
 use sched::id::ProgramId;
 use sched::spend::{Books, Record};
 use sched::term::{Incarnation, Roll};
@@ -26,10 +26,12 @@
 const CLOCK_MARGIN_MS: u64 = 60_000;
 /// Tries of one update against those of other owners.
 const MAX_TRIES: u32 = 4;
+/// Tries of one update of several records, the first of which tells what the others wrote.
+const MAX_JOINT_TRIES: u32 = 3;
 /// Records whose revisions are kept; the oldest are dropped first.
 const MAX_KNOWN: usize = 10_000;
 /// Records that are written at once; the guard of the terms takes the room of one.
-const MAX_CREATED: usize = kv::MAX_SWAPS - 1;
+pub const MAX_CREATED: usize = kv::MAX_SWAPS - 1;
 
 #[derive(Clone, Debug, Default)]
 struct Known {
@@ -110,14 +112,16 @@
             let writes = [(key.clone(), encode(&record)?, known.revision)];
             let guard = [(members::TERMS, terms)];
             let swap = self.bounded(self.kv.swap_all(&writes, &guard)).await?;
-            if let Swap::Done(revision) = swap {
-                self.keep(program, Known { revision, record: Some(record) });
-                return Ok(true);
-            }
-            let before = known.revision;
-            known = self.fetch(program).await?;
-            if known.revision == before {
-                self.fetch_terms().await?;
+            match swap {
+                Swaps::Done(revision) => {
+                    self.keep(program, Known { revision, record: Some(record) });
+                    return Ok(true);
+                }
+                Swaps::Conflict(found) if !read => known = self.learn(program, &found),
+                Swaps::Conflict(_) => {
+                    known = self.fetch(program).await?;
+                    self.fetch_terms().await?;
+                }
             }
             read = true;
         }
@@ -162,7 +166,7 @@
             writes.push((members::record_key(program), encode(record)?, 0));
         }
         let guard = [(members::TERMS, terms)];
-        if let Swap::Done(_) = self.bounded(self.kv.swap_all(&writes, &guard)).await? {
+        if let Swaps::Done(_) = self.bounded(self.kv.swap_all(&writes, &guard)).await? {
             return Ok(());
         }
         for (program, books) in books {
@@ -174,6 +178,73 @@
         Ok(())
     }
 
+    /// Replaces the records of several programs, each by what `change` makes of it for its number.
+    ///
+    /// Tells for each whether that is done; the others are to be updated one by one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the service is out of reach; the updates may have taken effect.
+    pub async fn update_all(
+        &self,
+        programs: &[ProgramId],
+        change: impl Fn(usize, Option<Record>, &Roll) -> Option<Record>,
+    ) -> Result<Vec<bool>, Error> {
+        for _ in 0..MAX_JOINT_TRIES {
+            let mut done = vec![false; programs.len()];
+            let mut writes = Vec::new();
+            let mut written = Vec::new();
+            let terms = self.view.with_roll(|roll| roll.revision);
+            for (number, program) in programs.iter().enumerate().take(MAX_CREATED) {
+                let known = self.known().get(program).cloned().unwrap_or_default();
+                let record = self.view.with_roll(|roll| change(number, known.record.clone(), roll));
+                let Some(record) = record else {
+                    continue;
+                };
+                done[number] = true;
+                if known.record.as_ref() != Some(&record) {
+                    writes.push((members::record_key(program), encode(&record)?, known.revision));
+                    written.push((program, record));
+                }
+            }
+            if writes.is_empty() {
+                return Ok(done);
+            }
+            let guard = [(members::TERMS, terms)];
+            match self.bounded(self.kv.swap_all(&writes, &guard)).await? {
+                Swaps::Done(revision) => {
+                    for (program, record) in written {
+                        self.keep(program, Known { revision, record: Some(record) });
+                    }
+                    return Ok(done);
+                }
+                Swaps::Conflict(found) => {
+                    for (program, _) in written {
+                        self.learn(program, &found);
+                    }
+                }
+            }
+        }
+        Ok(vec![false; programs.len()])
+    }
+
+    /// Takes in what a conflicting write was told of a program's record and of the terms.
+    fn learn(&self, program: &str, found: &[Entry]) -> Known {
+        if let Some((terms, revision)) =
+            found.iter().find(|entry| entry.key == members::TERMS).and_then(members::terms)
+        {
+            self.view.learn_terms(terms, revision);
+        }
+        let key = members::record_key(program);
+        let entry = found.iter().find(|entry| entry.key == key);
+        let known = entry.map_or_else(Known::default, |entry| Known {
+            revision: entry.revision,
+            record: serde_json::from_slice(&entry.value).ok(),
+        });
+        self.keep(program, known.clone());
+        known
+    }
+
     /// All records.
     ///
     /// # Errors
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -76,13 +76,15 @@
 pub struct Cursor {
     /// Version of the configuration that it has.
     pub version: Option<u64>,
+    /// Revision up to which its view held at first.
+    revision: u64,
     next: Option<u64>,
 }
 
 impl Cursor {
-    /// Starts a follower that has this version of the configuration.
-    pub fn new(version: Option<u64>) -> Self {
-        Self { version, next: None }
+    /// Starts a follower that has this version of the configuration and a view up to `revision`.
+    pub fn new(version: Option<u64>, revision: u64) -> Self {
+        Self { version, revision, next: None }
     }
 }
 
@@ -283,7 +285,12 @@
         let newer = state.table.as_ref().filter(|table| Some(table.version) > cursor.version);
         let table = newer.map(|table| Table::clone(table));
         cursor.version = table.as_ref().map(|table| table.version).or(cursor.version);
-        let behind = cursor.next.and_then(|next| next.checked_sub(state.dropped));
+        let behind = match cursor.next {
+            Some(next) => next.checked_sub(state.dropped),
+            // Its view is as new as this one.
+            None if cursor.revision >= state.revision => Some(state.kept.len() as u64),
+            None => None,
+        };
         cursor.next = Some(state.next());
         let revision = state.revision;
         match behind {
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -118,6 +118,8 @@
     Follow {
         /// Version of the configuration that the asker has.
         version: Option<Version>,
+        /// Revision up to which its view holds; no view is sent that is not newer.
+        revision: u64,
     },
 }
 
