--- a/crates/catkinshed/tests/trouble.rs
+++ b/crates/catkinshed/tests/trouble.rs
@@ -151,3 +151,24 @@
     assert_eq!(gate.ask(0, "/unsafe/x", "next", &[]).await.status, 200);
     assert_eq!(endpoint.runs().len(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_stream_that_sends_a_byte_now_and_then_ends_with_its_deadline() {
+    let endpoint = Endpoint::start("e-1", Act::Trickle(Duration::from_millis(100))).await;
+    let gate = Gate::start(BINARY, "trickle", 1, &[&endpoint]).await;
+    let started = Instant::now();
+    let answer = gate.ask(0, "/plain/x", "r-1", &["Deadline-Ms: 1500"]).await;
+    assert!(!answer.complete, "{answer:?}");
+    assert!(started.elapsed() < Duration::from_millis(2_500), "{:?}", started.elapsed());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(endpoint.abandoned().len(), 1, "its endpoint still works");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_but_sound_stream_is_not_cut() {
+    let endpoint = Endpoint::start("e-1", streaming(4, Duration::from_millis(650))).await;
+    let gate = Gate::start(BINARY, "sound", 1, &[&endpoint]).await;
+    let answer = gate.ask(0, "/plain/x", "r-1", &["Deadline-Ms: 9000"]).await;
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    assert_eq!(endpoint.runs().len(), 1);
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -220,7 +220,7 @@
             }
             Err(Error::LeaseLapsed) => return Err(Error::LeaseLapsed),
             Err(error) if renewed.elapsed() >= ttl => return Err(error),
-            Err(_) => ttl / 8,
+            Err(_) => ttl / 4,
         };
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -54,7 +54,9 @@
 pub const FIRST_FEED: Duration = Duration::from_millis(500);
 /// Interval of looks whether this daemon has to watch.
 const ROLE_CHECK: Duration = Duration::from_millis(200);
-/// Interval of looks whether the part before is watched.
+/// Time for which a daemon that has listed waits for a delegate before it watches itself.
+const FEED_GRACE: Duration = Duration::from_millis(400);
+/// Interval of looks whether the part before is answered, or a delegate heard.
 const TURN_CHECK: Duration = Duration::from_millis(10);
 /// Pause before another delegate is followed.
 const FEED_RETRY: Duration = Duration::from_millis(100);
@@ -67,6 +69,8 @@
     /// When a peer answered last, whether or not it watches the service.
     answered: Mutex<Option<Instant>>,
     watching: [AtomicBool; 2],
+    /// Whether the service has answered the last call for the configuration.
+    answering: AtomicBool,
     heard: Mutex<[Option<Instant>; FEEDS]>,
 }
 
@@ -77,6 +81,7 @@
             feeds_expected,
             answered: Mutex::default(),
             watching: Default::default(),
+            answering: AtomicBool::default(),
             heard: Mutex::default(),
         }
     }
@@ -109,19 +114,25 @@
         heard.iter().flatten().any(|at| now.duration_since(*at) < FEED_SILENCE)
     }
 
-    /// Waits until the part before this one is watched, so that a service that turns this daemon away
+    /// Waits until the part before this one is answered, so that a service that turns this daemon away
     /// is called once, not once for each part.
     async fn await_turn(&self, part: Part) {
-        let before = match part {
-            Part::Configuration => return,
-            Part::Directory => &self.watching[Part::Configuration as usize],
-        };
+        if part == Part::Configuration {
+            return;
+        }
         let until = Instant::now() + RETRY_MAX_OTHERS;
-        while !before.load(Ordering::Relaxed) && Instant::now() < until {
+        while !self.answering.load(Ordering::Relaxed) && Instant::now() < until {
             sleep(TURN_CHECK).await;
         }
     }
 
+    /// Notes whether the service answers calls for a part.
+    fn answers(&self, part: Part, answers: bool) {
+        if part == Part::Configuration {
+            self.answering.store(answers, Ordering::Relaxed);
+        }
+    }
+
     fn set(&self, part: Part, watching: bool, why: &str) {
         let before = self.watching[part as usize].swap(watching, Ordering::Relaxed);
         if before != watching {
@@ -178,6 +189,7 @@
                 if matches!(error, Error::Compacted) {
                     continue;
                 }
+                self.sources.answers(part, false);
                 self.sources.set(part, false, &format!("the key-value service is lost: {error}"));
                 sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
                 pause = (pause * 2).min(self.longest_pause());
@@ -192,8 +204,12 @@
             Part::Configuration => listing.entries.iter().for_each(|entry| self.configure(entry)),
             Part::Directory => self.replace(&listing.entries, listing.revision),
         }
-        self.sources.set(part, true, "the key-value service answers");
+        self.sources.answers(part, true);
         *pause = self.first_pause();
+        if !self.is_delegate() && self.is_fed_soon().await {
+            return Ok(());
+        }
+        self.sources.set(part, true, "the key-value service answers");
         let mut after = listing.revision;
         while self.has_to_watch(Instant::now()) {
             let asked = Instant::now();
@@ -208,6 +224,19 @@
         Ok(())
     }
 
+    /// Waits a moment for a delegate; one that has the same view sends only what changes, which takes
+    /// no call.
+    async fn is_fed_soon(&self) -> bool {
+        let until = Instant::now() + FEED_GRACE;
+        while Instant::now() < until {
+            if self.sources.fed(Instant::now()) {
+                return true;
+            }
+            sleep(TURN_CHECK).await;
+        }
+        false
+    }
+
     /// Lists a part. The first call of the watch brings what a stale reading misses; one that is older
     /// than what is known here already is not used.
     async fn list(&self, part: Part) -> Result<Listing, Error> {
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -55,6 +55,8 @@
     EndlessBody,
     /// With a stream whose first event never ends.
     EndlessEvent,
+    /// With one event, and then with a byte of the next one now and then.
+    Trickle(Duration),
     /// Not at all.
     Silent,
     /// By resetting the connection without running the request, as an endpoint that is down does.
@@ -215,6 +217,15 @@
                 self.flood(stream, run, &head, &chunk(&"data: more, without end\n".repeat(40)))
                     .await
             }
+            Act::Trickle(gap) => {
+                let head = head(&run.id, "Content-Type: text/event-stream");
+                let event = chunk("id: 1\ndata: part 1\n\n");
+                stream.write_all(format!("{head}{event}").as_bytes()).await?;
+                while !self.pause(stream, run, gap).await? {
+                    stream.write_all(chunk("d").as_bytes()).await?;
+                }
+                Ok(false)
+            }
             Act::Silent => {
                 self.pause(stream, run, Duration::from_secs(60)).await?;
                 Ok(false)
