Let programs begin within a daemon's share where no steward answers

Cause: without a steward's answer, as after its loss or in a partition, a daemon let everything in, so a burst then collapsed as before admission.

Change: a daemon lets programs begin while its own requests under way are below twice its part of the slots, and always one.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use platform::header;
-use sched::admission::Stage;
+use sched::admission::{Share, Stage};
 use sched::attempt::{self, Attempt, Next, Progress};
 use sched::fleet::{Need, Registration};
 use sched::id::{EndpointId, Version};
@@ -317,6 +317,11 @@
                 self.retry_after = Some(refusal.retry_after);
                 return Err(Reason::Overloaded);
             }
+            Placement::Unknown if self.stage == Stage::Begins && !self.has_own_room(now) => {
+                let spread = self.context.with_rng(fastrand::Rng::f64);
+                self.retry_after = Some(Share::refusal(spread).retry_after);
+                return Err(Reason::Overloaded);
+            }
             Placement::Refused(_) | Placement::Unknown => {}
         }
         let found = self.place(Instant::now());
@@ -328,6 +333,14 @@
         })
     }
 
+    /// Tells whether a program may begin as far as this daemon knows by itself.
+    fn has_own_room(&self, now: Instant) -> bool {
+        let view = &self.context.view;
+        let (own, slots) = view.fleet(|fleet| fleet.own_load(&self.service, now));
+        let daemons = view.with_members(indexmap::IndexMap::len);
+        Share { own, slots, daemons }.has_room(&self.context.settings.admission)
+    }
+
     /// The engines of the request's service, where it is a service of engines.
     fn engine(&self) -> Option<Engine> {
         let table = self.context.view.table()?;
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -35,6 +35,8 @@
 const NEEDED_SHARE: f64 = 0.9;
 /// Time in which what was let in loses half of its weight.
 const RATE_HALF_LIFE: Duration = Duration::from_millis(500);
+/// Times its part of the slots that one daemon may use where no steward answers.
+const UNEVEN: f64 = 2.0;
 /// Shortest time to come back.
 const BACK_MIN: Duration = Duration::from_millis(150);
 /// Longest time to come back; callers do not wait for much longer.
@@ -69,6 +71,33 @@
     }
 }
 
+/// What one daemon knows of a service's load by itself, where no steward answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Its own requests under way.
+    pub own: u32,
+    /// Slots of all endpoints.
+    pub slots: u32,
+    /// Daemons that serve clients.
+    pub daemons: usize,
+}
+
+impl Share {
+    /// Tells whether a program may begin.
+    ///
+    /// Clients are spread unevenly, so a daemon may use some times its part of the slots; it always has
+    /// one, so that service goes on however many daemons there are.
+    pub fn has_room(&self, limits: &Limits) -> bool {
+        let part = f64::from(self.slots) / self.daemons.max(1) as f64;
+        f64::from(self.own) < (part * limits.begin * UNEVEN).max(1.0)
+    }
+
+    /// The refusal of a program that may not.
+    pub fn refusal(spread: f64) -> Refusal {
+        Refusal { retry_after: BACK_MIN + (BACK_MAX - BACK_MIN).mul_f64(spread) }
+    }
+}
+
 /// Load of a group of endpoints.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -255,6 +255,14 @@
         Some(best.registration.clone())
     }
 
+    /// Own requests under way at a service's endpoints that take work, and their slots.
+    pub fn own_load(&self, service: &str, now: Instant) -> (u32, u32) {
+        let usable = self.of(service).filter(|member| member.usable(now));
+        usable.fold((0, 0), |(own, slots), member| {
+            (own + member.in_flight, slots + member.registration.slots)
+        })
+    }
+
     /// Counts a request that goes to an endpoint.
     pub fn begin(&mut self, id: &str) {
         if let Some(member) = self.members.get_mut(id) {
--- a/crates/sched/tests/admission.rs
+++ b/crates/sched/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Which requests are taken on at which load.
 
-use sched::admission::{Ask, Gate, Limits, Load, Refusal, Stage};
+use sched::admission::{Ask, Gate, Limits, Load, Refusal, Share, Stage};
 use sched::id::ProgramId;
 use std::time::{Duration, Instant};
 
@@ -108,6 +108,24 @@
         assert!(mean(45, 10) > few, "{few:?}");
     }
 
+    without_a_steward_daemons_let_in_about_what_the_engines_hold(_now) {
+        let limits = Limits::default();
+        for (slots, daemons) in [(144_u32, 8), (270, 58), (462, 259), (27_000, 560)] {
+            let room = |own| Share { own, slots, daemons }.has_room(&limits);
+            let most = (0..slots).find(|own| !room(*own)).expect("an end of the room");
+            assert!(most >= 1, "service stops");
+            let all = f64::from(most) * daemons as f64;
+            assert!(all >= f64::from(slots) * limits.begin, "{daemons}: {all} of {slots}");
+            assert!(all <= f64::from(slots) * limits.begin * 3.0, "{daemons}: {all} of {slots}");
+        }
+    }
+
+    a_daemon_that_sees_no_slots_still_serves(_now) {
+        assert!(Share { own: 0, slots: 1, daemons: 560 }.has_room(&Limits::default()));
+        let refusal = Share::refusal(0.5);
+        assert!(refusal.retry_after > Duration::ZERO);
+    }
+
     what_is_remembered_is_bounded(now) {
         let mut gate = Gate::default();
         for number in 0..20_000 {
