--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,7 +7,7 @@
 
 use crate::desk::Desk;
 use crate::flights::Flights;
-use crate::follow::{FEEDS, FIRST_FEED, Follower, NEXT_FEED, Part, Sources};
+use crate::follow::{FEEDS, FIRST_FEED, Follower, Part, Sources};
 use crate::forward::Context as Shared;
 use crate::ingress::{self, Phase};
 use crate::members;
@@ -55,7 +55,8 @@
     let kv = Client::new(&settings.kv, bound).context("key-value client")?;
     let view = Arc::new(View::default());
     let desk = Arc::new(Desk::new(settings.clone(), view.clone(), kv.clone()));
-    let patience = if settings.first_start { FIRST_FEED } else { NEXT_FEED };
+    // A daemon that comes back is waited for, so it asks the key-value service at once.
+    let patience = if settings.first_start { FIRST_FEED } else { Duration::ZERO };
     let sources = Arc::new(Sources::new(Instant::now() + patience));
     let phase = watch::Sender::new(Phase::Serving);
     let flights = Flights::default();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -48,8 +48,6 @@
 const DEFERENCE: Duration = Duration::from_millis(8);
 /// Members that are assumed while none are known.
 const ASSUMED_MEMBERS: usize = 60;
-/// Time that seeds have to be heard when one daemon starts again.
-pub const NEXT_FEED: Duration = Duration::from_millis(200);
 /// Time that delegates have to be heard when all daemons start together.
 pub const FIRST_FEED: Duration = Duration::from_millis(500);
 /// Interval of looks whether this daemon has to watch.
