List anew, not stale, after history was lost, and as a delegate

Ruled out: the waits of the deference (the delegates were the ones that looped).

Change: a listing after lost history is read fresh, and delegates always read fresh; only other daemons begin with a stale one.

Test: a_listing_that_is_too_old_to_go_on_from_is_read_again; the stand-in has the fault.

--- a/crates/catkinshed/tests/gateway.rs
+++ b/crates/catkinshed/tests/gateway.rs
@@ -1,11 +1,12 @@
 //! What a gateway promises to clients and endpoints, while endpoints break off.
 
+use gateway::settings::Settings;
 use gateway::view::View;
 use sched::id::ProgramId;
 use sched::spend::Record;
 use std::sync::Arc;
 use std::time::Duration;
-use testing::gate::{Answer, Gate, config, streaming, until};
+use testing::gate::{Answer, Gate, PATIENCE, config, streaming, until};
 use testing::script::{Act, Endpoint};
 use tokio::io::AsyncReadExt;
 
@@ -372,6 +373,19 @@
     assert_eq!(gate.ask(1, "/unsafe/x", "r-1", &[]).await.status, 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_listing_that_is_too_old_to_go_on_from_is_read_again() {
+    let endpoint = Endpoint::start("e-1", Act::Answer).await;
+    let mut gate = Gate::start(BINARY, "stale", 1, &[&endpoint]).await;
+    gate.faults.set(|state| state.kv.stale = true);
+    // Without seeds it is no delegate and hears of none.
+    let settings =
+        Settings { first_start: false, ..gate.settings(1, testing::net::free_addr(), &[]) };
+    let late = gate.launch(BINARY, settings);
+    gate.daemons.push(late);
+    gate.daemons[1].settled(2, PATIENCE).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_storage_vm_is_reported_empty_once_asked() {
     let endpoint = Endpoint::start("e-1", Act::Answer).await;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -157,6 +157,15 @@
     }
 }
 
+/// How a part is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    /// As it was some time ago, which costs the service little.
+    Stale,
+    /// As it is.
+    Fresh,
+}
+
 /// The parts that following needs.
 #[derive(Clone)]
 pub struct Follower {
@@ -178,13 +187,18 @@
     /// Keeps one part of the view up to date while this daemon has to watch it.
     pub async fn keep(self, part: Part) {
         let mut pause = self.first_pause();
+        let mut reading = Reading::Stale;
         loop {
             while !self.has_to_watch(Instant::now()) || self.defers().await {
                 sleep(ROLE_CHECK).await;
             }
             self.sources.await_turn(part).await;
-            if let Err(error) = self.watch(part, &mut pause).await {
+            let watched = self.watch(part, reading, &mut pause).await;
+            reading = Reading::Stale;
+            if let Err(error) = watched {
                 if matches!(error, Error::Compacted) {
+                    // A stale listing may lie before what the service still keeps.
+                    reading = Reading::Fresh;
                     continue;
                 }
                 self.sources.answers(part, false);
@@ -196,8 +210,11 @@
     }
 
     /// Watches until the service fails or this daemon need not watch any more.
-    async fn watch(&self, part: Part, pause: &mut Duration) -> Result<(), Error> {
-        let listing = self.list(part).await?;
+    async fn watch(&self, part: Part, reading: Reading, pause: &mut Duration) -> Result<(), Error> {
+        let listing = match reading {
+            Reading::Stale if !self.is_delegate() => self.list(part).await?,
+            Reading::Stale | Reading::Fresh => self.kv.list(part.prefix(), "").await?,
+        };
         match part {
             Part::Configuration => listing.entries.iter().for_each(|entry| self.configure(entry)),
             Part::Directory => self.replace(&listing.entries, listing.revision),
--- a/crates/testing/src/faults.rs
+++ b/crates/testing/src/faults.rs
@@ -14,6 +14,8 @@
     pub delay: Duration,
     /// Of each this many writes one takes effect and is answered with an error; 0 for none.
     pub lose_answer_every: u32,
+    /// Stale readings are from before all keys, and the changes since then are not kept any more.
+    pub stale: bool,
 }
 
 /// Faults of one endpoint.
--- a/crates/testing/src/kv.rs
+++ b/crates/testing/src/kv.rs
@@ -22,6 +22,8 @@
 const MAX_TRANSACTION_ENTRIES: usize = 32;
 /// Changes kept for watches.
 const HISTORY: usize = 20_000;
+/// Revision before the first change.
+const FIRST: u64 = 1;
 /// Most items of one page.
 const PAGE_ITEMS: usize = 500;
 /// Most bytes of one page's values.
@@ -304,9 +306,17 @@
     answer(&item_json(key, item))
 }
 
-#[get("/kv-range?<path_prefix>&<after>")]
-async fn range(app: &App, path_prefix: Option<&str>, after: Option<&str>) -> Answer {
+#[get("/kv-range?<path_prefix>&<after>&<stale_ok>")]
+async fn range(
+    app: &App,
+    path_prefix: Option<&str>,
+    after: Option<&str>,
+    stale_ok: Option<u8>,
+) -> Answer {
     admit(app, false).await?;
+    if app.faults.kv().stale && stale_ok == Some(1) {
+        return answer(&json!({ "items": [], "has_more": false, "store_revision": FIRST }));
+    }
     let prefix = path_prefix.unwrap_or_default();
     let after = after.unwrap_or_default();
     let store = app.lock();
@@ -450,7 +460,8 @@
 ) -> Result<Option<Value>, Status> {
     let store = app.lock();
     let oldest = store.history.front().map_or(0, |change| change.revision);
-    if store.history.len() == HISTORY && after < oldest {
+    let lost = store.history.len() == HISTORY && after < oldest;
+    if lost || (app.faults.kv().stale && after <= FIRST) {
         return Err(Status::Gone);
     }
     let recent = store.history.iter().rev().take_while(|change| change.revision > after);
