Log the rate limits that endpoints name and what is sent to them

The logs could not tell apart why engines get more requests than the limit they name: no daemon records the limit, and served requests write no line. The adapter now decodes the limit, and two info lines are added: an endpoint changed its limit, and the requests that this daemon sent to a limited endpoint in the last second as first tries, retries and resumed streams. Nothing decides by them yet.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -168,6 +168,7 @@
         context.pool.sweep(now);
         context.budgets.sweep(now);
         context.coordinators.sweep(now);
+        context.log_limited();
         context.view.with_fleet(|fleet| fleet.sweep(now));
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use sched::coordinator;
 use sched::fleet::{Criteria, Registration};
 use sched::id::{EndpointId, Version};
+use sched::limit;
 use sched::request::Metadata;
 use sched::retry;
 use sched::route::{Engine, Route, Table};
@@ -58,6 +59,8 @@
     pub budgets: Arc<Budgets>,
     /// Bookings of endpoints.
     pub coordinators: Arc<Coordinators>,
+    /// Rate limits that endpoints name.
+    limits: Mutex<limit::Limits>,
     buffers: answers::Limiter,
     retry_budget: Mutex<retry::Budget>,
     rng: Mutex<fastrand::Rng>,
@@ -71,13 +74,29 @@
             Arc::new(Coordinators::new(settings.clone(), view.clone(), budgets.clone()));
         let (pool, buffers, retry_budget) =
             (Arc::default(), answers::Limiter::default(), Mutex::default());
-        Self { settings, view, pool, budgets, coordinators, buffers, retry_budget, rng }
+        let limits = Mutex::default();
+        Self { settings, view, pool, budgets, coordinators, limits, buffers, retry_budget, rng }
     }
 
     fn with_rng<R>(&self, sample: impl FnOnce(&mut fastrand::Rng) -> R) -> R {
         sample(&mut self.rng.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    fn with_limits<R>(&self, update: impl FnOnce(&mut limit::Limits) -> R) -> R {
+        update(&mut self.limits.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Logs the requests that were sent to endpoints with a rate limit since the last call.
+    pub fn log_limited(&self) {
+        for (endpoint, rate, sent) in self.with_limits(limit::Limits::take_sent) {
+            let limit::Sent { first, retry, resume } = sent;
+            log::info!(
+                target: "limit", endpoint = endpoint.as_str(), rate, first, retry, resume;
+                "requests sent to an endpoint with a rate limit"
+            );
+        }
+    }
+
     /// Accesses the budget for retries of requests whose response is late.
     fn with_retry_budget<R>(&self, update: impl FnOnce(&mut retry::Budget) -> R) -> R {
         update(&mut self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -7,14 +7,15 @@
 use crate::coordinators::BookingGuard;
 use crate::settings::millis;
 use crate::upstream::{self, BufferedRequest, Connection};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::header;
-use sched::attempt::{Action, Failure};
+use sched::attempt::{Action, Failure, Progress};
 use sched::coordinator;
 use sched::fleet::Registration;
 use sched::id::EndpointId;
+use sched::limit::Purpose;
 use sched::retry;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -121,6 +122,8 @@
             Some(request) => request,
             None => return Err(self.on_unreachable(&registration, "failed to build the request")),
         };
+        let purpose = self.purpose(resume_after);
+        self.context.with_limits(|limits| limits.count(&registration.id, purpose));
         self.attempt.on_send();
         let sent_at = Instant::now();
         let error = match self.wait_for_head(&registration, queued, connection.send(request)).await
@@ -147,6 +150,32 @@
         })
     }
 
+    /// Returns why the request is about to be sent.
+    fn purpose(&self, resume_after: Option<u64>) -> Purpose {
+        if resume_after.or(self.request.metadata.resume_after).is_some() {
+            return Purpose::Resume;
+        }
+        match self.attempt.progress() {
+            Progress::NotRun if self.attempt.excluded().is_empty() => Purpose::First,
+            _ => Purpose::Retry,
+        }
+    }
+
+    /// Records the rate limit that a response names, or that it names none.
+    fn record_limit(&self, registration: &Registration, headers: &HeaderMap) {
+        let rate = header::rate_limit(headers);
+        let now = Instant::now();
+        if self.context.with_limits(|limits| limits.observe(registration, rate, now)) {
+            log::info!(
+                target: "limit",
+                request = self.request.metadata.id.as_str(),
+                endpoint = registration.id.as_str(),
+                rate;
+                "the endpoint changed its rate limit"
+            );
+        }
+    }
+
     /// Waits for the head of a response; returns `None` when the response is late and the request
     /// should be sent again instead.
     async fn wait_for_head<T>(
@@ -271,6 +300,7 @@
             self.log_failure(&registration, "the response belongs to another request");
             return Err(self.attempt.on_failure(&registration.id, Failure::Incomplete));
         }
+        self.record_limit(&registration, headers);
         if header::not_run(status, headers) {
             let now = Instant::now();
             let view = &self.context.view;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,7 +9,7 @@
 //! * [`queue`], [`place`], [`predict`] and [`health`] select which call runs next, and at which
 //!   endpoint;
 //! * [`route`], [`request`], [`attempt`], [`fleet`], [`prefix`], [`coordinator`], [`admission`],
-//!   [`retry`], [`spend`] and [`term`] handle requests that are routed by host and path;
+//!   [`limit`], [`retry`], [`spend`] and [`term`] handle requests that are routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons.
 
 pub mod admission;
@@ -21,6 +21,7 @@
 pub mod grant;
 pub mod health;
 pub mod id;
+pub mod limit;
 pub mod log;
 pub mod members;
 pub mod place;
