Show that daemons together exceed the limit that an endpoint names

The test runs three daemons before one endpoint that names 6 requests/s and one without a limit, with 40 requests/s from clients. The scripted endpoint can now name a limit.

--- /dev/null
+++ b/crates/catkinshed/tests/limits.rs
@@ -0,0 +1,57 @@
+//! Checks that all daemons together keep to the rate limits that endpoints name.
+
+use std::time::{Duration, Instant};
+use testing::gateway_harness::{Harness, streaming};
+use testing::script::Endpoint;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_catkinshed");
+/// Limit that the limited endpoint names, in requests per second.
+const RATE_LIMIT: f64 = 6.0;
+/// Window over which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time between an endpoint's first statement of its limit and the first window.
+const GRACE: Duration = Duration::from_secs(3);
+/// Interval between two requests of the clients.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Returns the maximum number of requests that the endpoint may get in one window.
+fn allowed() -> usize {
+    (1.5 * RATE_LIMIT * WINDOW.as_secs_f64()) as usize + 5
+}
+
+/// Returns the largest number of requests that an endpoint ran in any window after `from`.
+fn busiest_window(endpoint: &Endpoint, from: Instant) -> usize {
+    let started: Vec<Instant> = endpoint.runs().into_iter().map(|run| run.started).collect();
+    let in_window =
+        |begin: Instant| started.iter().filter(|at| (begin..begin + WINDOW).contains(*at)).count();
+    started.iter().filter(|at| **at >= from).map(|begin| in_window(*begin)).max().unwrap_or(0)
+}
+
+/// Sends requests to all daemons in turn for `duration`; returns how many were answered with status
+/// 200 and how many were not.
+async fn send_requests(harness: &Harness, path: &str, duration: Duration) -> (usize, usize) {
+    let count = duration.div_duration_f64(REQUEST_INTERVAL) as u32;
+    let responses = (0..count).map(|number| async move {
+        tokio::time::sleep(REQUEST_INTERVAL * number).await;
+        let daemon = number as usize % harness.daemons.len();
+        let id = format!("r-{number}");
+        harness.request(daemon, path, &id, &["Deadline-Ms: 1500"]).await.status
+    });
+    let statuses = futures::future::join_all(responses).await;
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    (served, statuses.len() - served)
+}
+
+/// Guards against daemons that each send an endpoint as much as its limit allows to all of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_together_exceed_the_limit_that_an_endpoint_names() {
+    let limited = Endpoint::start("e-1", streaming(3, Duration::from_millis(20))).await;
+    let open = Endpoint::start("e-2", streaming(3, Duration::from_millis(20))).await;
+    limited.set_rate_limit(Some(RATE_LIMIT));
+    let harness = Harness::start(BINARY, "fleet-limit", 3, &[&limited, &open]).await;
+    let begin = Instant::now();
+    let (served, failed) = send_requests(&harness, "/stream/x", GRACE + WINDOW * 2).await;
+    let busiest = busiest_window(&limited, begin + GRACE);
+    assert!(busiest <= allowed(), "{busiest} requests in {WINDOW:?}, allowed {}", allowed());
+    assert_eq!(failed, 0, "{served} served; the other endpoint has room for all");
+}
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -86,6 +86,7 @@
     runs: Vec<Run>,
     abandoned: Vec<(String, Instant)>,
     connections: usize,
+    rate_limit: Option<f64>,
 }
 
 /// Running scripted endpoint; clones share its state.
@@ -122,6 +123,12 @@
         self.lock().script.extend(behaviours);
     }
 
+    /// Sets the limit on requests per second that the endpoint names in its responses; `None` names
+    /// none. The endpoint doesn't enforce it.
+    pub fn set_rate_limit(&self, rate_limit: Option<f64>) {
+        self.lock().rate_limit = rate_limit;
+    }
+
     /// Returns the requests that were run, in order.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
@@ -249,10 +256,21 @@
     }
 
     async fn send(&self, stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<bool> {
-        stream.write_all(bytes).await?;
+        stream.write_all(&self.with_rate_limit(bytes)).await?;
         Ok(true)
     }
 
+    /// Returns `response` with the endpoint's rate limit, if it names one, as the first header.
+    fn with_rate_limit(&self, response: &[u8]) -> Vec<u8> {
+        let rate_limit = self.lock().rate_limit;
+        let status_line = response.iter().position(|byte| *byte == b'\n').map(|end| end + 1);
+        let mut response = response.to_vec();
+        if let (Some(rate_limit), Some(end)) = (rate_limit, status_line) {
+            response.splice(end..end, format!("Server-Limit: {rate_limit}\r\n").into_bytes());
+        }
+        response
+    }
+
     /// Sends `head`, then repeats `repeated` until the client closes the connection.
     async fn flood(
         &self,
@@ -297,7 +315,7 @@
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             run.id, self.id, run.id
         );
-        stream.write_all(head.as_bytes()).await?;
+        self.send(stream, head.as_bytes()).await?;
         let last = run.headers.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for (sent, id) in (last + 1..=events).enumerate() {
             if self.closed_within(stream, run, gap).await? {
