--- a/crates/gateway/src/coordinators.rs
+++ b/crates/gateway/src/coordinators.rs
@@ -3,17 +3,23 @@
 //! A daemon asks the coordinator in its own data centre first, and one in another data centre if
 //! the first finds only busy endpoints. A coordinator that does not answer in time is skipped for a
 //! while. If no coordinator answers, the daemon selects an endpoint from its local view.
+//!
+//! Rate limits of endpoints are shared along the same way, see [`sched::limit`]: a daemon attaches
+//! the limits that it observed to its next booking, and the members that may act as a coordinator
+//! report their permits to each other.
 
 use crate::budgets::Budgets;
 use crate::members::{self, Suspects};
 use crate::settings::Settings;
 use crate::view::View;
+use indexmap::IndexMap;
 use peer::gateway::{Command, Member, Response};
 use peer::wire::{Reply, Request};
-use sched::admission::Refusal;
-use sched::coordinator::{self, Booking, Bookings, Outcome};
+use sched::admission::{Fallback, Refusal};
+use sched::coordinator::{self, Booking, Bookings, Group, Outcome};
 use sched::fleet::Registration;
-use sched::id::RequestId;
+use sched::id::{EndpointId, RequestId, VmId};
+use sched::limit::{self, Limits, Permit, Purpose, Report, Standing};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -25,6 +31,18 @@
 /// Cost of sending a request to another data centre, in turns of a full engine.
 const REMOTE_COST: f64 = 0.05;
 
+/// Maximum number of other data centres whose coordinators are asked while endpoints have limits.
+const MAX_REMOTE_DCS: usize = 2;
+/// Interval of the reports between the members that may grant permits for the same endpoints.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of report intervals after which a coordinator reports limits without new permits, so that
+/// the members that stand in for it know them.
+const IDLE_REPORT_TICKS: u32 = 5;
+/// Time for which a confirmation of a report is valid: two idle reports, of which one may be lost.
+const CONFIRMATION_TTL: Duration = Duration::from_millis(2_200);
+/// Time after its last booking for which a daemon counts as one that asks this coordinator.
+const ASKER_TTL: Duration = Duration::from_secs(2);
+
 /// State for booking endpoints, as a client of coordinators and as a coordinator.
 pub struct Coordinators {
     settings: Arc<Settings>,
@@ -32,6 +50,10 @@
     budgets: Arc<Budgets>,
     suspects: Suspects,
     bookings: Mutex<Bookings>,
+    /// Daemons that asked this one for an endpoint, with the time of their last booking.
+    askers: Mutex<IndexMap<VmId, Instant>>,
+    /// Daemons that confirmed a report, with the time of the last confirmation.
+    confirmations: Mutex<IndexMap<VmId, Instant>>,
 }
 
 /// A booked endpoint; dropping the guard releases the booking.
@@ -41,20 +63,13 @@
     request: RequestId,
     /// Registration of the endpoint.
     pub registration: Registration,
-    /// Load of the endpoint before the booking, as a share of its slots.
+    /// Load of the endpoint before the booking, see [`Booking::load`].
     pub load: f64,
     cost: f64,
     /// How the request ended; reported to the coordinator with the release.
     pub end: coordinator::End,
 }
 
-impl BookingGuard {
-    /// Releases the booking of an endpoint to which the request was not sent.
-    fn release_unsent(mut self) {
-        self.end = coordinator::End::Unsent;
-    }
-}
-
 impl Drop for BookingGuard {
     fn drop(&mut self) {
         self.coordinators.release(self);
@@ -63,8 +78,8 @@
 
 /// Result of booking an endpoint for a request.
 pub enum Placement {
-    /// An endpoint is booked.
-    Booked(Box<BookingGuard>),
+    /// An endpoint is booked, and one request may be sent to it.
+    Booked(Box<BookingGuard>, Permit),
     /// The coordinator has no capacity for the request now.
     Refused(Refusal),
     /// No coordinator answered, or none knows a suitable endpoint.
@@ -75,23 +90,21 @@
     /// Returns the load of the booked endpoint, if there is one.
     fn load(&self) -> Option<f64> {
         match self {
-            Self::Booked(booking) => Some(booking.load),
+            Self::Booked(booking, _) => Some(booking.load),
             Self::Refused(_) | Self::Unknown => None,
         }
     }
 
-    /// Returns the better of two placements and releases the other booking.
+    /// Returns the better of two placements; the other booking is released as unsent.
     fn or_better(self, remote: Self) -> Self {
         match (self, remote) {
-            (Self::Booked(local), Self::Booked(remote)) => {
-                let (best, other) = match local.cost <= remote.cost + REMOTE_COST {
-                    true => (local, remote),
-                    false => (remote, local),
-                };
-                other.release_unsent();
-                Self::Booked(best)
+            (Self::Booked(local, local_permit), Self::Booked(remote, remote_permit)) => {
+                match local.cost <= remote.cost + REMOTE_COST {
+                    true => Self::Booked(local, local_permit),
+                    false => Self::Booked(remote, remote_permit),
+                }
             }
-            (booked @ Self::Booked(_), _) | (_, booked @ Self::Booked(_)) => booked,
+            (booked @ Self::Booked(..), _) | (_, booked @ Self::Booked(..)) => booked,
             (Self::Refused(local), Self::Refused(remote)) => {
                 let retry_after = local.retry_after.min(remote.retry_after);
                 Self::Refused(Refusal { retry_after })
@@ -106,11 +119,24 @@
     /// Creates the state, without bookings.
     pub fn new(settings: Arc<Settings>, view: Arc<View>, budgets: Arc<Budgets>) -> Self {
         let bookings = Mutex::new(Bookings::new(settings.admission));
-        Self { settings, view, budgets, suspects: Suspects::default(), bookings }
+        Self {
+            settings,
+            view,
+            budgets,
+            suspects: Suspects::default(),
+            bookings,
+            askers: Mutex::default(),
+            confirmations: Mutex::default(),
+        }
+    }
+
+    /// Calls `update` with the rate limits while they are locked.
+    fn with_limits<R>(&self, update: impl FnOnce(&mut Limits) -> R) -> R {
+        update(&mut self.bookings().rate_limits)
     }
 
     fn bookings(&self) -> MutexGuard<'_, Bookings> {
-        self.bookings.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.bookings)
     }
 
     /// Books an endpoint in this daemon's data centre, or in another one if it costs less there.
@@ -121,11 +147,30 @@
             return local;
         }
         let dcs = self.view.with_fleet(|fleet| fleet.dcs(&request.service));
-        let other_dcs: Vec<_> = dcs.into_iter().filter(|dc| *dc != own_dc).collect();
-        let Some(other_dc) = fastrand::choice(other_dcs) else {
-            return local;
-        };
-        local.or_better(self.book_in(&other_dc, &request).await)
+        let mut other_dcs: Vec<_> = dcs.into_iter().filter(|dc| *dc != own_dc).collect();
+        fastrand::shuffle(&mut other_dcs);
+        // A limit may exhaust the endpoints of one data centre while others have spare capacity.
+        let limited = self.with_limits(|limits| !limits.is_empty());
+        let mut best = local;
+        for dc in other_dcs.iter().take(if limited { MAX_REMOTE_DCS } else { 1 }) {
+            best = best.or_better(self.book_in(dc, &request).await);
+            if best.load().is_some_and(|load| load < 1.0) {
+                break;
+            }
+        }
+        best
+    }
+
+    /// Books the endpoint that alone may run a request.
+    ///
+    /// Without a reachable coordinator, the permit comes from this daemon's own part of the limit.
+    pub async fn book_at(
+        self: &Arc<Self>,
+        registration: Registration,
+        request: coordinator::Request,
+    ) -> Placement {
+        let only = Some(registration.id.clone());
+        self.book_in(&registration.dc, &coordinator::Request { only, ..request }).await
     }
 
     async fn book_in(self: &Arc<Self>, dc: &str, request: &coordinator::Request) -> Placement {
@@ -137,7 +182,7 @@
             return Placement::Unknown;
         };
         let outcome = match coordinator.vm == self.settings.vm {
-            true => Some(self.book_locally(dc, request, now)),
+            true => Some(self.book_locally(dc, request, &self.settings.vm, &[], now)),
             false => self.ask_coordinator(&coordinator, dc, request).await,
         };
         match outcome {
@@ -153,16 +198,17 @@
         request: &coordinator::Request,
         booking: Booking,
     ) -> Placement {
-        let Booking { endpoint, load, cost } = booking;
+        let Booking { endpoint, permit, load, cost } = booking;
         // A booking of an endpoint that is not in the local view is not released; it expires.
         let Some(registration) = self.view.with_fleet(|fleet| fleet.registration(&endpoint)) else {
             return Placement::Unknown;
         };
+        self.with_limits(|limits| limits.learn(&registration, &permit, Instant::now()));
         let (coordinators, request) = (self.clone(), request.id.clone());
-        let end = coordinator::End::Done;
+        let end = coordinator::End::Unsent;
         let guard =
             BookingGuard { coordinators, coordinator, request, registration, load, cost, end };
-        Placement::Booked(Box::new(guard))
+        Placement::Booked(Box::new(guard), permit)
     }
 
     async fn ask_coordinator(
@@ -171,10 +217,19 @@
         dc: &str,
         request: &coordinator::Request,
     ) -> Option<Outcome> {
-        let command = Command::Book { dc: dc.into(), request: request.clone() };
+        let reports = self.untold(&request.service, dc, coordinator);
+        let command = Command::Book {
+            dc: dc.into(),
+            request: request.clone(),
+            daemon: self.settings.vm.clone(),
+            reports: reports.clone(),
+        };
         let message = Request::Gateway(Box::new(command));
         match self.budgets.peers().first_reply(&coordinator.addr, &message, REQUEST_TIMEOUT).await {
-            Some(Reply::Gateway(Response::Booked(outcome))) => Some(outcome),
+            Some(Reply::Gateway(Response::Booked(outcome))) => {
+                self.with_limits(|limits| limits.record_told(&reports, coordinator.incarnation));
+                Some(outcome)
+            }
             _ => {
                 self.suspects.suspect(&coordinator.vm, Instant::now());
                 log::info!(
@@ -186,10 +241,194 @@
         }
     }
 
-    /// Books an endpoint as its coordinator.
-    pub fn book_locally(&self, dc: &str, request: &coordinator::Request, now: Instant) -> Outcome {
+    /// Returns the limits that this daemon knows and that the coordinator has not been told.
+    fn untold(&self, service: &str, dc: &str, coordinator: &Member) -> Vec<Report> {
+        let bookings = self.bookings();
+        if bookings.rate_limits.is_empty() {
+            return Vec::new();
+        }
+        let now = Instant::now();
+        self.view.with_fleet(|fleet| {
+            let endpoints = fleet.usable(service, now).map(|found| found.registration);
+            let endpoints = endpoints.filter(|registration| registration.dc == dc);
+            bookings.rate_limits.untold(endpoints, coordinator.incarnation, now)
+        })
+    }
+
+    /// Books an endpoint for `daemon` as its coordinator, after merging the limits in `reports`.
+    pub fn book_locally(
+        &self,
+        dc: &str,
+        request: &coordinator::Request,
+        daemon: &VmId,
+        reports: &[Report],
+        now: Instant,
+    ) -> Outcome {
+        lock(&self.askers).insert(daemon.clone(), now);
+        let share = self.standing(&request.service, dc, now).share();
         let mut bookings = self.bookings();
-        self.view.with_fleet(|fleet| bookings.book(fleet, dc, request, now))
+        bookings.rate_limits.merge(reports, now);
+        self.view.with_fleet(|fleet| bookings.book(fleet, Group { dc, share }, request, now))
+    }
+
+    /// Returns what this daemon knows about the other daemons that may grant permits for a service's
+    /// endpoints in a data centre.
+    fn standing(&self, service: &str, dc: &str, now: Instant) -> Standing {
+        let own = &self.settings.vm;
+        let askers = {
+            let askers = lock(&self.askers);
+            askers.values().filter(|asked_at| now.duration_since(**asked_at) < ASKER_TTL).count()
+        };
+        let confirmations = lock(&self.confirmations);
+        let is_confirmed = |member: &&Member| {
+            let confirmed_at = confirmations.get(&member.vm);
+            confirmed_at.is_some_and(|at| now.duration_since(*at) < CONFIRMATION_TTL)
+        };
+        self.view.with_members(|live| {
+            let line = members::coordinator_line(service, dc, live);
+            Standing {
+                first: line.first().is_some_and(|member| member.vm == *own),
+                confirmed: line.iter().all(|member| member.vm == *own)
+                    || line.iter().any(is_confirmed),
+                askers,
+                members: live.len(),
+            }
+        })
+    }
+
+    /// Grants a permit from this daemon's own part of the limit, without its coordinator.
+    pub fn take_alone(
+        &self,
+        registration: &Registration,
+        max_delay: Duration,
+        now: Instant,
+    ) -> Option<Permit> {
+        let share = self.share_alone();
+        self.with_limits(|limits| {
+            limits.set_share(std::iter::once(registration), share, now);
+            limits.take(registration, max_delay, now)
+        })
+    }
+
+    /// Returns the part of a limit that a daemon spends that reaches no coordinator.
+    fn share_alone(&self) -> f64 {
+        let members = self.view.with_members(IndexMap::len);
+        Standing { first: false, confirmed: false, askers: 1, members }.share()
+    }
+
+    /// Returns the endpoints of a service for which [`Self::take_alone`] grants no permit now.
+    pub fn exhausted_alone(&self, service: &str, now: Instant) -> Vec<EndpointId> {
+        let share = self.share_alone();
+        let mut bookings = self.bookings();
+        if bookings.rate_limits.is_empty() {
+            return Vec::new();
+        }
+        self.view.with_fleet(|fleet| {
+            let endpoints = || fleet.usable(service, now).map(|found| found.registration);
+            bookings.rate_limits.set_share(endpoints(), share, now);
+            let exhausted =
+                endpoints().filter(|found| !bookings.rate_limits.delay(found, now).is_zero());
+            exhausted.map(|found| found.id.clone()).collect()
+        })
+    }
+
+    /// Returns the endpoints of a service that have a rate limit.
+    pub fn limited(&self, service: &str, now: Instant) -> Vec<EndpointId> {
+        let bookings = self.bookings();
+        self.view.with_fleet(|fleet| {
+            let endpoints = fleet.usable(service, now).map(|found| found.registration);
+            let limited = endpoints.filter(|found| bookings.rate_limits.is_limited(found));
+            limited.map(|found| found.id.clone()).collect()
+        })
+    }
+
+    /// Returns this daemon's load on a service, for admission without a coordinator.
+    pub fn load_alone(&self, service: &str, now: Instant) -> Fallback {
+        let bookings = self.bookings();
+        let slots = |registration: &Registration| bookings.rate_limits.slots(registration);
+        let (in_flight, slots) = self.view.with_fleet(|fleet| fleet.own_load(service, slots, now));
+        Fallback { in_flight, slots, daemons: self.view.with_members(IndexMap::len) }
+    }
+
+    /// Returns whether an endpoint has a rate limit.
+    pub fn is_limited(&self, registration: &Registration) -> bool {
+        self.with_limits(|limits| limits.is_limited(registration))
+    }
+
+    /// Records the rate limit that a response of an endpoint names, or that it names none.
+    pub fn record_limit(&self, registration: &Registration, rate: Option<limit::Rate>, id: &str) {
+        let now = Instant::now();
+        if self.with_limits(|limits| limits.observe(registration, rate, now)) {
+            log::info!(
+                target: "limit", request = id, endpoint = registration.id.as_str(), rate;
+                "the endpoint changed its rate limit"
+            );
+        }
+    }
+
+    /// Counts a request that is sent to an endpoint.
+    pub fn count_sent(&self, endpoint: &str, purpose: Purpose) {
+        self.with_limits(|limits| limits.count(endpoint, purpose));
+    }
+
+    /// Logs the requests that were sent to endpoints with a rate limit since the last call.
+    pub fn log_limited(&self) {
+        for (endpoint, rate, sent) in self.with_limits(Limits::take_sent) {
+            let limit::Sent { first, retry, resume } = sent;
+            log::info!(
+                target: "limit", endpoint = endpoint.as_str(), rate, first, retry, resume;
+                "requests sent to an endpoint with a rate limit"
+            );
+        }
+    }
+
+    /// Merges the reports of a daemon that may grant permits for the same endpoints.
+    pub fn merge_reports(&self, reports: &[Report], now: Instant) {
+        self.with_limits(|limits| limits.merge(reports, now));
+    }
+
+    /// Reports limits and permits to the members that may grant permits for the same endpoints.
+    pub async fn run_reports(self: Arc<Self>) {
+        for tick in (0..IDLE_REPORT_TICKS).cycle() {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            for (member, reports) in self.due_reports(tick == 0, Instant::now()) {
+                tokio::spawn(self.clone().send_reports(member, reports));
+            }
+        }
+    }
+
+    /// Returns the reports that are due, by receiver; `idle` includes limits without new permits.
+    fn due_reports(&self, idle: bool, now: Instant) -> Vec<(Member, Vec<Report>)> {
+        let reports = self.with_limits(|limits| limits.take_reports(now));
+        let mut due: IndexMap<VmId, (Member, Vec<Report>)> = IndexMap::new();
+        for report in reports {
+            let registration = self.view.with_fleet(|fleet| fleet.registration(&report.endpoint));
+            let Some(Registration { service, dc, .. }) = registration else {
+                continue;
+            };
+            self.view.with_members(|live| {
+                let line = members::coordinator_line(&service, &dc, live);
+                let first = line.first().is_some_and(|member| member.vm == self.settings.vm);
+                if report.granted == 0 && !(first && idle) {
+                    return;
+                }
+                for member in line.iter().filter(|member| member.vm != self.settings.vm) {
+                    let entry = due.entry(member.vm.clone());
+                    let (_, reports) = entry.or_insert_with(|| (Member::clone(member), Vec::new()));
+                    reports.push(report.clone());
+                }
+            });
+        }
+        due.into_values().collect()
+    }
+
+    async fn send_reports(self: Arc<Self>, member: Member, reports: Vec<Report>) {
+        let daemon = self.settings.vm.clone();
+        let message = Request::Gateway(Box::new(Command::Limits { daemon, reports }));
+        let reply = self.budgets.peers().first_reply(&member.addr, &message, REPORT_INTERVAL).await;
+        if matches!(reply, Some(Reply::Gateway(Response::Noted))) {
+            lock(&self.confirmations).insert(member.vm, Instant::now());
+        }
     }
 
     /// Releases a booking as its coordinator.
@@ -197,9 +436,14 @@
         self.bookings().release(request, endpoint, end, Instant::now());
     }
 
-    /// Drops expired bookings, which were never released because their daemons are gone.
+    /// Drops expired bookings, which were never released because their daemons are gone, and what is
+    /// known of endpoints and daemons that are gone.
     pub fn sweep(&self, now: Instant) {
-        self.bookings().sweep(now);
+        let mut bookings = self.bookings();
+        bookings.sweep(now);
+        self.view.with_fleet(|fleet| bookings.rate_limits.retain(|id| fleet.contains(id)));
+        lock(&self.askers).retain(|_, asked_at| now.duration_since(*asked_at) < ASKER_TTL);
+        lock(&self.confirmations).retain(|_, at| now.duration_since(*at) < CONFIRMATION_TTL);
     }
 
     fn release(&self, booking: &BookingGuard) {
@@ -215,3 +459,7 @@
         }
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -74,6 +74,7 @@
             let listener = bind_client_addr(&settings).await?;
             let peers = TcpListener::bind(settings.peer_addr).await?;
             tokio::spawn(serve_peers(peers, context.clone(), budgets, view, sync_status));
+            tokio::spawn(context.coordinators.clone().run_reports());
             ingress::serve(listener, context, phase, connections).await;
             anyhow::Ok(())
         };
@@ -168,7 +169,7 @@
         context.pool.sweep(now);
         context.budgets.sweep(now);
         context.coordinators.sweep(now);
-        context.log_limited();
+        context.coordinators.log_limited();
         context.view.with_fleet(|fleet| fleet.sweep(now));
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -23,7 +23,7 @@
 use sched::coordinator;
 use sched::fleet::{Criteria, Registration};
 use sched::id::{EndpointId, Version};
-use sched::limit;
+use sched::limit::Permit;
 use sched::request::Metadata;
 use sched::retry;
 use sched::route::{Engine, Route, Table};
@@ -59,8 +59,6 @@
     pub budgets: Arc<Budgets>,
     /// Bookings of endpoints.
     pub coordinators: Arc<Coordinators>,
-    /// Rate limits that endpoints name.
-    limits: Mutex<limit::Limits>,
     buffers: answers::Limiter,
     retry_budget: Mutex<retry::Budget>,
     rng: Mutex<fastrand::Rng>,
@@ -74,29 +72,13 @@
             Arc::new(Coordinators::new(settings.clone(), view.clone(), budgets.clone()));
         let (pool, buffers, retry_budget) =
             (Arc::default(), answers::Limiter::default(), Mutex::default());
-        let limits = Mutex::default();
-        Self { settings, view, pool, budgets, coordinators, limits, buffers, retry_budget, rng }
+        Self { settings, view, pool, budgets, coordinators, buffers, retry_budget, rng }
     }
 
     fn with_rng<R>(&self, sample: impl FnOnce(&mut fastrand::Rng) -> R) -> R {
         sample(&mut self.rng.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    fn with_limits<R>(&self, update: impl FnOnce(&mut limit::Limits) -> R) -> R {
-        update(&mut self.limits.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Logs the requests that were sent to endpoints with a rate limit since the last call.
-    pub fn log_limited(&self) {
-        for (endpoint, rate, sent) in self.with_limits(limit::Limits::take_sent) {
-            let limit::Sent { first, retry, resume } = sent;
-            log::info!(
-                target: "limit", endpoint = endpoint.as_str(), rate, first, retry, resume;
-                "requests sent to an endpoint with a rate limit"
-            );
-        }
-    }
-
     /// Accesses the budget for retries of requests whose response is late.
     fn with_retry_budget<R>(&self, update: impl FnOnce(&mut retry::Budget) -> R) -> R {
         update(&mut self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner))
@@ -150,6 +132,7 @@
 struct Target {
     registration: Registration,
     booked: Option<BookingGuard>,
+    permit: Permit,
 }
 
 /// A response from an endpoint whose head has been received.
@@ -317,8 +300,15 @@
             if now >= self.reply_deadline() {
                 return Err(self.deadline_reason());
             }
-            let Target { registration, booked } = self.choose_target(preferred.take(), now).await?;
-            let action = match self.send_once(registration, booked, resume_after).await {
+            let target = self.choose_target(preferred.take(), now).await?;
+            let delay = target.permit.delay();
+            if Instant::now() + delay >= self.reply_deadline() {
+                return Err(self.deadline_reason());
+            }
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            let action = match self.send_once(target, resume_after).await {
                 Ok(response) => return Ok(response),
                 Err(action) => action,
             };
@@ -362,12 +352,12 @@
             })
         };
         if let Some(registration) = preferred.as_ref().and_then(registration) {
-            return Ok(Target { registration, booked: None });
+            return self.target_at(registration).await;
         }
         match self.context.coordinators.book(self.booking_request()).await {
-            Placement::Booked(booked) => {
+            Placement::Booked(booked, permit) => {
                 let registration = booked.registration.clone();
-                return Ok(Target { registration, booked: Some(*booked) });
+                return Ok(Target { registration, booked: Some(*booked), permit });
             }
             // The overload reply guarantees that the request has not run.
             Placement::Refused(refusal) if self.attempt.progress() == Progress::NotRun => {
@@ -379,24 +369,52 @@
                 self.retry_after = Some(Fallback::refusal(spread).retry_after);
                 return Err(Reason::Overloaded);
             }
-            Placement::Refused(_) | Placement::Unknown => {}
+            // The coordinator has spent the rate limits of its endpoints.
+            Placement::Refused(_) => {
+                let limited = self.context.coordinators.limited(&self.service, now);
+                return self.select_locally(limited).ok_or_else(|| self.no_endpoint_reason());
+            }
+            Placement::Unknown => {}
+        }
+        let exhausted = self.context.coordinators.exhausted_alone(&self.service, now);
+        self.select_locally(exhausted).ok_or_else(|| self.no_endpoint_reason())
+    }
+
+    /// Returns the endpoint that alone may run the request as the target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for a local reply when the endpoint's rate limit leaves no request.
+    async fn target_at(&self, registration: Registration) -> Result<Target, Reason> {
+        let coordinators = &self.context.coordinators;
+        if coordinators.is_limited(&registration) {
+            let request = self.booking_request();
+            match coordinators.book_at(registration.clone(), request).await {
+                Placement::Booked(booked, permit) => {
+                    return Ok(Target { registration, booked: Some(*booked), permit });
+                }
+                Placement::Refused(_) => return Err(self.no_endpoint_reason()),
+                Placement::Unknown => {}
+            }
         }
-        let selected = self.select_locally(Instant::now());
-        selected.map(|registration| Target { registration, booked: None }).ok_or_else(|| match self
-            .attempt
-            .give_up()
-        {
+        let now = Instant::now();
+        let permit = coordinators.take_alone(&registration, self.time_left(now), now);
+        let permit = permit.ok_or_else(|| self.no_endpoint_reason())?;
+        Ok(Target { registration, booked: None, permit })
+    }
+
+    /// Returns the reason for a local reply when no endpoint can take the request.
+    fn no_endpoint_reason(&self) -> Reason {
+        match self.attempt.give_up() {
             Action::FailNotRun => Reason::NoEndpoint,
             _ => Reason::Unknown,
-        })
+        }
     }
 
     /// Returns whether a new program may start, judged only by the requests of this daemon.
     fn has_local_capacity(&self, now: Instant) -> bool {
-        let view = &self.context.view;
-        let (in_flight, slots) = view.with_fleet(|fleet| fleet.own_load(&self.service, now));
-        let daemons = view.with_members(indexmap::IndexMap::len);
-        Fallback { in_flight, slots, daemons }.has_room(&self.context.settings.admission)
+        let load = self.context.coordinators.load_alone(&self.service, now);
+        load.has_room(&self.context.settings.admission)
     }
 
     /// Returns the engine parameters of the request's service, or `None` if it has no engines.
@@ -416,11 +434,14 @@
             prompt: metadata.prompt_parts.iter().take(MAX_PROMPT_PARTS).copied().collect(),
             memory: self.engine().map_or(0, |engine| engine.memory),
             avoid: self.attempt.excluded().to_vec(),
+            only: None,
         }
     }
 
-    /// Selects an endpoint from this daemon's own data, without a booking.
-    fn select_locally(&self, now: Instant) -> Option<Registration> {
+    /// Selects an endpoint that is not in `avoid` from this daemon's own data, without a booking.
+    fn select_locally(&self, mut avoid: Vec<EndpointId>) -> Option<Target> {
+        let now = Instant::now();
+        avoid.extend_from_slice(self.attempt.excluded());
         let view = &self.context.view;
         let affinity = match self.route.kind.is_stream() {
             true => self.request.metadata.affinity_key(),
@@ -430,11 +451,13 @@
             dc: &self.context.settings.dc,
             affinity,
             affinity_load: AFFINITY_LOAD,
-            avoid: self.attempt.excluded(),
+            avoid: &avoid,
         };
-        self.context.with_rng(|rng| {
+        let registration = self.context.with_rng(|rng| {
             view.with_fleet(|fleet| fleet.place(&self.service, &criteria, rng, now))
-        })
+        })?;
+        let permit = self.context.coordinators.take_alone(&registration, Duration::ZERO, now)?;
+        Some(Target { registration, booked: None, permit })
     }
 
     /// Reads the whole response before it is forwarded, so that the request can be retried if the
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -3,11 +3,11 @@
 //! An attempt can fail in several ways. They are distinguished here by whether any bytes of the
 //! request may have been sent, and by what the failure says about the endpoint.
 
-use super::{Context, EndpointResponse, Forwarder};
+use super::{Context, EndpointResponse, Forwarder, Target};
 use crate::coordinators::BookingGuard;
 use crate::settings::millis;
 use crate::upstream::{self, BufferedRequest, Connection};
-use http::{HeaderMap, Request, Response};
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::header;
@@ -54,6 +54,20 @@
         self.last_activity = Instant::now();
     }
 
+    /// Records that bytes of the request may have been sent.
+    fn record_sent(&mut self) {
+        if let Some(booked) = &mut self.booked {
+            booked.end = coordinator::End::Done;
+        }
+    }
+
+    /// Ends the exchange without any byte of the request sent.
+    fn cancel(mut self) {
+        if let Some(booked) = &mut self.booked {
+            booked.end = coordinator::End::Unsent;
+        }
+    }
+
     /// Ends the exchange as failed by the endpoint.
     pub fn fail(mut self) {
         if let Some(booked) = &mut self.booked {
@@ -89,15 +103,17 @@
 
 impl Forwarder {
     /// Sends the request to one endpoint and waits for the head of the response.
+    ///
+    /// This is the only place that sends a request to an endpoint; it uses up the target's permit.
     pub(super) async fn send_once(
         &mut self,
-        registration: Registration,
-        booked: Option<BookingGuard>,
+        target: Target,
         resume_after: Option<u64>,
     ) -> Result<EndpointResponse, Action> {
+        let Target { registration, booked, permit: _ } = target;
         // A response from a fully loaded endpoint is expected to be late.
         let queued = booked.as_ref().is_some_and(|booked| booked.load >= 1.0);
-        let exchange = self.context.begin_exchange(&registration.id, booked);
+        let mut exchange = self.context.begin_exchange(&registration.id, booked);
         let now = Instant::now();
         let idle = self.context.pool.take(&registration, now);
         let mut connection = match idle {
@@ -123,8 +139,9 @@
             None => return Err(self.on_unreachable(&registration, "failed to build the request")),
         };
         let purpose = self.purpose(resume_after);
-        self.context.with_limits(|limits| limits.count(&registration.id, purpose));
+        self.context.coordinators.count_sent(&registration.id, purpose);
         self.attempt.on_send();
+        exchange.record_sent();
         let sent_at = Instant::now();
         let error = match self.wait_for_head(&registration, queued, connection.send(request)).await
         {
@@ -138,6 +155,7 @@
             None => return Err(self.on_late_response(&registration, exchange)),
         };
         if connection.reused && matches!(error, upstream::Error::Unsent) {
+            exchange.cancel();
             return Err(self.attempt.on_stale_connection(&registration.id));
         }
         exchange.fail();
@@ -161,21 +179,6 @@
         }
     }
 
-    /// Records the rate limit that a response names, or that it names none.
-    fn record_limit(&self, registration: &Registration, headers: &HeaderMap) {
-        let rate = header::rate_limit(headers);
-        let now = Instant::now();
-        if self.context.with_limits(|limits| limits.observe(registration, rate, now)) {
-            log::info!(
-                target: "limit",
-                request = self.request.metadata.id.as_str(),
-                endpoint = registration.id.as_str(),
-                rate;
-                "the endpoint changed its rate limit"
-            );
-        }
-    }
-
     /// Waits for the head of a response; returns `None` when the response is late and the request
     /// should be sent again instead.
     async fn wait_for_head<T>(
@@ -300,7 +303,9 @@
             self.log_failure(&registration, "the response belongs to another request");
             return Err(self.attempt.on_failure(&registration.id, Failure::Incomplete));
         }
-        self.record_limit(&registration, headers);
+        let rate = header::rate_limit(headers);
+        let id = &self.request.metadata.id;
+        self.context.coordinators.record_limit(&registration, rate, id);
         if header::not_run(status, headers) {
             let now = Instant::now();
             let view = &self.context.view;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -62,9 +62,16 @@
     format_compact!("{RECORDS}{program}")
 }
 
+/// Number of members that grant permits for the same endpoints if some of them are slow or gone.
+const MAX_LINE: usize = 3;
+
+/// Rank of a member as the coordinator of a service's endpoints in its data centre: the member with
+/// the largest CPU share is first; the rendezvous hash breaks ties.
+fn coordinator_rank(service: &str, member: &Member) -> (u32, u64) {
+    (member.cpu, members::weight(&service, &member.vm))
+}
+
 /// Returns the coordinator of a service's endpoints in a data centre.
-///
-/// It is the member there with the largest CPU share; the rendezvous hash breaks ties.
 pub fn coordinator<'a>(
     service: &str,
     dc: &str,
@@ -74,7 +81,20 @@
 ) -> Option<&'a Member> {
     let local = live.values().filter(|member| member.dc == dc);
     let reachable = local.filter(|member| !suspects.contains(&member.vm, now));
-    reachable.max_by_key(|member| (member.cpu, members::weight(&service, &member.vm)))
+    reachable.max_by_key(|member| coordinator_rank(service, member))
+}
+
+/// Returns the coordinator of a service's endpoints in a data centre and the members that stand in
+/// for it, in this order.
+pub fn coordinator_line<'a>(
+    service: &str,
+    dc: &str,
+    live: &'a IndexMap<VmId, Member>,
+) -> Vec<&'a Member> {
+    let mut line: Vec<&Member> = live.values().filter(|member| member.dc == dc).collect();
+    line.sort_by_key(|member| std::cmp::Reverse(coordinator_rank(service, member)));
+    line.truncate(MAX_LINE);
+    line
 }
 
 /// Returns the member that owns the budget of `program` next if `me` fails.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -47,11 +47,18 @@
             });
         }
         Command::Settle(settlement) => budgets.settle(&settlement),
-        Command::Book { dc, request } => {
-            let outcome = coordinators.book_locally(&dc, &request, Instant::now());
+        Command::Book { dc, request, daemon, reports } => {
+            let now = Instant::now();
+            let outcome = coordinators.book_locally(&dc, &request, &daemon, &reports, now);
             // If the peer is gone, its booking expires.
             tokio::spawn(async move { reply(&sender, Response::Booked(outcome)).await });
         }
+        Command::Limits { daemon, reports } => {
+            coordinators.merge_reports(&reports, Instant::now());
+            log::debug!(target: "limit", daemon = daemon.as_str(); "merged reports");
+            // If the peer is gone, it needs no confirmation.
+            tokio::spawn(async move { reply(&sender, Response::Noted).await });
+        }
         Command::Release { request, endpoint, end } => {
             coordinators.release_locally(&request, &endpoint, end)
         }
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -449,7 +449,8 @@
                 | Response::Reserved(_)
                 | Response::Drawn(_)
                 | Response::Inherited(_)
-                | Response::Booked(_) => return,
+                | Response::Booked(_)
+                | Response::Noted => return,
             };
             if !watching {
                 return;
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -4,6 +4,7 @@
 use sched::coordinator;
 use sched::fleet::Registration;
 use sched::id::{DcId, EndpointId, ProgramId, RequestId, Tokens, Version, VmId};
+use sched::limit;
 use sched::route::Table;
 use sched::spend;
 use sched::term::{Incarnation, TermView, Terms};
@@ -112,6 +113,18 @@
         /// The request to place.
         #[serde(rename = "ask")]
         request: coordinator::Request,
+        /// Daemon that sends the request.
+        daemon: VmId,
+        /// Rate limits that the daemon observed and has not reported to this coordinator yet.
+        reports: Vec<limit::Report>,
+    },
+    /// Reports the rate limits in force and the permits granted for them to a daemon that may grant
+    /// permits for the same endpoints.
+    Limits {
+        /// Daemon that sends the reports.
+        daemon: VmId,
+        /// The reports.
+        reports: Vec<limit::Report>,
     },
     /// Releases the booking of a request; gets no response.
     Release {
@@ -154,6 +167,8 @@
     Drawn(DrawOutcome),
     /// Reply to [`Command::Inherit`]: the program's account, if the member had one.
     Inherited(spend::Transfer),
+    /// The reports of [`Command::Limits`] are merged.
+    Noted,
     /// Outcome of a booking.
     Booked(coordinator::Outcome),
     /// Decision on a reservation: whether the turn may run.
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -3,7 +3,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use sched::admission::Stage;
-use sched::coordinator::{self, Bookings, End};
+use sched::coordinator::{self, Bookings, End, Group};
 use sched::fleet::{Criteria, Fleet, Registration, State};
 use sched::members;
 use sched::request::Part;
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 /// Numbers of endpoints of one service, from a small site to the whole fleet.
+const GROUP: Group<'static> = Group { dc: "dc-a", share: 1.0 };
 const ENDPOINTS: [usize; 4] = [9, 45, 450, 4_500];
 /// Numbers of endpoints of one service in one data centre.
 const GROUP_SIZES: [usize; 3] = [9, 32, 300];
@@ -65,10 +66,11 @@
             prompt: (1..=4).map(|id| Part { id, tokens: 500 }).collect(),
             memory: 60_000,
             avoid: Vec::new(),
+            only: None,
         };
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
-                let booking = bookings.book(&fleet, "dc-a", &request, now).booking();
+                let booking = bookings.book(&fleet, GROUP, &request, now).booking();
                 if let Some(booking) = &booking {
                     bookings.release(&request.id, &booking.endpoint, End::Done, now);
                 }
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -75,12 +75,12 @@
 }
 
 /// Admission by one daemon on its own, used when no coordinator answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fallback {
     /// Requests of this daemon that are in flight at the service's endpoints.
     pub in_flight: u32,
-    /// Slots of all endpoints of the service.
-    pub slots: u32,
+    /// Slots of all endpoints of the service, as far as their rate limits leave them.
+    pub slots: f64,
     /// Number of daemons that serve clients.
     pub daemons: usize,
 }
@@ -92,7 +92,7 @@
     /// of the slots. It may always use one slot, so that the service stays available with any
     /// number of daemons.
     pub fn has_room(&self, limits: &Limits) -> bool {
-        let share = f64::from(self.slots) / self.daemons.max(1) as f64;
+        let share = self.slots / self.daemons.max(1) as f64;
         f64::from(self.in_flight) < (share * limits.begin * UNEVEN_SHARE_FACTOR).max(1.0)
     }
 
@@ -120,6 +120,13 @@
     pub retry_after: Duration,
 }
 
+impl Refusal {
+    /// Returns the refusal of a request that can be served after `delay`.
+    pub fn until(delay: Duration) -> Self {
+        Self { retry_after: delay.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER) }
+    }
+}
+
 /// A refused program that is expected to retry.
 #[derive(Clone, Copy, Debug)]
 struct PendingRetry {
--- a/crates/sched/src/coordinator.rs
+++ b/crates/sched/src/coordinator.rs
@@ -25,6 +25,7 @@
 use crate::admission::{self, Controller, Limits, Load, Refusal, Stage};
 use crate::fleet::{Candidate, Fleet, Registration};
 use crate::id::{EndpointId, ProgramId, RequestId, ServiceId, Tokens};
+use crate::limit::{self, Permit, SLOT_TIME};
 use crate::members;
 use crate::prefix::Cache;
 use crate::request::Part;
@@ -85,6 +86,23 @@
     pub memory: Tokens,
     /// Endpoints that already refused the request.
     pub avoid: Vec<EndpointId>,
+    /// Endpoint that alone may run the request, because it may have run there; `None` for any.
+    pub only: Option<EndpointId>,
+}
+
+/// The endpoints that a daemon books as their coordinator.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Group<'a> {
+    /// Data centre of the endpoints.
+    pub dc: &'a str,
+    /// Part of the endpoints' rate limits that the daemon may spend, from 0 to 1.
+    pub share: f64,
+}
+
+impl Group<'_> {
+    fn contains(&self, registration: &Registration) -> bool {
+        registration.dc == self.dc
+    }
 }
 
 /// A booked endpoint.
@@ -92,7 +110,10 @@
 pub struct Booking {
     /// Id of the endpoint.
     pub endpoint: EndpointId,
-    /// Bookings of the endpoint before this one, as a fraction of its slots.
+    /// Permission to send the request.
+    pub permit: Permit,
+    /// Load of the endpoint before this booking: bookings as a fraction of its slots, or use of its
+    /// rate limit if that is higher.
     pub load: f64,
     /// Cost of the request at this endpoint, in turns of a full engine.
     pub cost: f64,
@@ -183,6 +204,8 @@
     /// Admission control for the endpoints of each service.
     controllers: IndexMap<ServiceId, Controller>,
     limits: Limits,
+    /// Rate limits of the endpoints.
+    pub rate_limits: limit::Limits,
 }
 
 impl Bookings {
@@ -191,63 +214,105 @@
         Self { limits, ..Self::default() }
     }
 
-    /// Books an endpoint of the data centre `dc` if admission control accepts the request.
+    /// Books an endpoint of `group` if admission control accepts the request and the rate limit of
+    /// the endpoint allows it.
     ///
     /// Replaces an earlier booking of the same request.
-    pub fn book(&mut self, fleet: &Fleet, dc: &str, request: &Request, now: Instant) -> Outcome {
+    pub fn book(
+        &mut self,
+        fleet: &Fleet,
+        group: Group<'_>,
+        request: &Request,
+        now: Instant,
+    ) -> Outcome {
         self.remove(&request.id);
-        let Some(load) = self.group_load(fleet, dc, request, now) else {
+        if !self.rate_limits.is_empty() {
+            let candidates = fleet.usable(&request.service, now).map(|found| found.registration);
+            let endpoints = candidates.filter(|registration| group.contains(registration));
+            self.rate_limits.set_share(endpoints, group.share, now);
+        }
+        let Some(load) = self.group_load(fleet, group, request, now) else {
             return Outcome::NoEndpoint;
         };
-        let controller = self
-            .controllers
-            .entry(request.service.clone())
-            .or_insert_with(|| Controller::new(self.limits));
-        let admission_request = admission::Request {
-            program: request.program.as_ref(),
-            stage: request.stage,
-            time_left: request.time_left,
-        };
-        if let Err(refusal) = controller.admit(admission_request, load, now) {
-            return Outcome::Refused(refusal);
+        // A request that may have run was admitted before.
+        if request.only.is_none() {
+            let controller = self
+                .controllers
+                .entry(request.service.clone())
+                .or_insert_with(|| Controller::new(self.limits));
+            let admission_request = admission::Request {
+                program: request.program.as_ref(),
+                stage: request.stage,
+                time_left: request.time_left,
+            };
+            if let Err(refusal) = controller.admit(admission_request, load, now) {
+                return Outcome::Refused(refusal);
+            }
         }
-        self.choose(fleet, dc, request, now).map_or(Outcome::NoEndpoint, Outcome::Booked)
+        self.choose(fleet, group, request, now)
     }
 
-    /// Returns the load of the service's endpoints in `dc`; `None` if there are none.
-    fn group_load(&self, fleet: &Fleet, dc: &str, request: &Request, now: Instant) -> Option<Load> {
-        let (mut booked, mut slots, mut least) = (0.0, 0.0, f64::INFINITY);
+    /// Returns the load of the service's endpoints in `group`; `None` if there are none.
+    fn group_load(
+        &self,
+        fleet: &Fleet,
+        group: Group<'_>,
+        request: &Request,
+        now: Instant,
+    ) -> Option<Load> {
+        let (mut used, mut slots, mut least) = (0.0, 0.0, f64::INFINITY);
         let usable = fleet.usable(&request.service, now);
         for Candidate { registration, .. } in
-            usable.filter(|candidate| candidate.registration.dc == dc)
+            usable.filter(|candidate| group.contains(candidate.registration))
         {
-            let (load, own_slots) = (self.load(registration), f64::from(registration.slots.max(1)));
-            booked += load * own_slots;
+            let load = self.load(registration, now);
+            let own_slots = self.rate_limits.slots(registration);
+            used += load * own_slots;
             slots += own_slots;
             least = load.min(least);
         }
-        (slots > 0.0).then(|| Load { group: booked / slots, least })
+        (slots > 0.0).then(|| Load { group: used / slots, least })
     }
 
     fn choose(
         &mut self,
         fleet: &Fleet,
-        dc: &str,
+        group: Group<'_>,
         request: &Request,
         now: Instant,
-    ) -> Option<Booking> {
+    ) -> Outcome {
+        let max_wait_s = SLOT_TIME.as_secs_f64() * (self.limits.go_on - 1.0).max(0.0);
+        let max_delay = Duration::try_from_secs_f64(max_wait_s).unwrap_or(Duration::MAX);
+        let mut least_delay = Duration::MAX;
         let usable = fleet.usable(&request.service, now).filter(|candidate| {
-            candidate.registration.dc == dc && !request.avoid.contains(&candidate.registration.id)
+            let id = &candidate.registration.id;
+            group.contains(candidate.registration)
+                && !request.avoid.contains(id)
+                && request.only.as_ref().is_none_or(|only| only == id)
+        });
+        let permitted = usable.filter(|candidate| {
+            let delay = self.rate_limits.delay(candidate.registration, now);
+            least_delay = least_delay.min(delay);
+            delay <= max_delay
         });
         let costs =
-            usable.map(|candidate| (self.cost(candidate.registration, request, now), candidate));
-        let (cost, best) = costs.min_by(|(left_cost, left), (right_cost, right)| {
+            permitted.map(|candidate| (self.cost(candidate.registration, request, now), candidate));
+        let best = costs.min_by(|(left_cost, left), (right_cost, right)| {
             let order = |candidate: &Candidate<'_>| (candidate.ejected, candidate.full);
             order(left).cmp(&order(right)).then_with(|| left_cost.total_cmp(right_cost))
-        })?;
+        });
+        let Some((cost, best)) = best else {
+            return match least_delay {
+                Duration::MAX => Outcome::NoEndpoint,
+                delay => Outcome::Refused(Refusal::until(delay.saturating_sub(max_delay))),
+            };
+        };
         let registration = best.registration;
         let endpoint = registration.id.clone();
-        let load = self.load(registration);
+        let load = self.load(registration, now);
+        let Some(permit) = self.rate_limits.take(registration, max_delay, now) else {
+            return Outcome::NoEndpoint;
+        };
         *self.counts.entry(endpoint.clone()).or_default() += 1;
         let entry = Entry {
             endpoint: endpoint.clone(),
@@ -257,7 +322,7 @@
             booked_at: now,
         };
         self.entries.insert(request.id.clone(), entry);
-        Some(Booking { endpoint, load, cost })
+        Outcome::Booked(Booking { endpoint, permit, load, cost })
     }
 
     /// Releases the booking of `endpoint` and records how the request ended.
@@ -270,6 +335,7 @@
         match end {
             End::Done => self.record_success(endpoint, entry, now),
             End::Failed => self.record_failure(endpoint.into(), now),
+            End::Unsent if booked => self.rate_limits.refund(endpoint, now),
             End::Unsent => {}
         }
     }
@@ -336,10 +402,12 @@
         Some(entry)
     }
 
-    /// Returns the bookings of an endpoint as a fraction of its slots.
-    fn load(&self, registration: &Registration) -> f64 {
+    /// Returns the bookings of an endpoint as a fraction of its slots, or the use of its rate limit
+    /// if that is higher.
+    fn load(&self, registration: &Registration, now: Instant) -> f64 {
         let count = self.counts.get(&registration.id).copied().unwrap_or(0);
-        f64::from(count) / f64::from(registration.slots.max(1))
+        let booked = f64::from(count) / f64::from(registration.slots.max(1));
+        booked.max(self.rate_limits.load(registration, now))
     }
 
     /// Returns the cost of a request at an endpoint, in turns of a full engine.
@@ -347,8 +415,8 @@
         let failures = self.failures.get(&registration.id);
         let weight = failures.map_or(0.0, |failures| failures.weight(now));
         let cost = match &request.program {
-            Some(program) => self.turn_cost(registration, program, &request.prompt, weight),
-            None => self.plain_cost(registration, &request.id, weight),
+            Some(program) => self.turn_cost(registration, program, &request.prompt, weight, now),
+            None => self.plain_cost(registration, &request.id, weight, now),
         };
         match failures.is_some_and(|failures| failures.penalized(weight)) {
             true => cost + PENALTY_LOAD,
@@ -362,8 +430,11 @@
         registration: &Registration,
         request: &RequestId,
         failure_weight: f64,
+        now: Instant,
     ) -> f64 {
-        self.load(registration) + tie_break(registration, request) + failure_weight * FAILURE_LOAD
+        self.load(registration, now)
+            + tie_break(registration, request)
+            + failure_weight * FAILURE_LOAD
     }
 
     fn turn_cost(
@@ -372,8 +443,9 @@
         program: &ProgramId,
         prompt: &[Part],
         failure_weight: f64,
+        now: Instant,
     ) -> f64 {
-        let load = self.load(registration);
+        let load = self.load(registration, now);
         let slots = f64::from(registration.slots.max(1));
         let batch = load.min(1.0);
         let queue = (load + 1.0 / slots - 1.0).max(0.0);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -193,6 +193,11 @@
         self.endpoints.get(id).map(|endpoint| endpoint.registration.clone())
     }
 
+    /// Returns whether an endpoint is known.
+    pub fn contains(&self, id: &str) -> bool {
+        self.endpoints.contains_key(id)
+    }
+
     /// Returns the data centres that have endpoints of a service.
     pub fn dcs(&self, service: &str) -> IndexSet<DcId> {
         self.in_service(service).map(|endpoint| endpoint.registration.dc.clone()).collect()
@@ -265,12 +270,17 @@
         Some(best.registration.clone())
     }
 
-    /// Returns this daemon's requests in flight at the usable endpoints of a service, and the total
-    /// number of slots of these endpoints.
-    pub fn own_load(&self, service: &str, now: Instant) -> (u32, u32) {
+    /// Returns this daemon's requests in flight at the usable endpoints of a service, and the sum of
+    /// the endpoints' `slots`.
+    pub fn own_load(
+        &self,
+        service: &str,
+        slots: impl Fn(&Registration) -> f64,
+        now: Instant,
+    ) -> (u32, f64) {
         let usable = self.in_service(service).filter(|endpoint| endpoint.usable(now));
-        usable.fold((0, 0), |(own, slots), endpoint| {
-            (own + endpoint.in_flight, slots + endpoint.registration.slots)
+        usable.fold((0, 0.0), |(own, total), endpoint| {
+            (own + endpoint.in_flight, total + slots(&endpoint.registration))
         })
     }
 
--- a/crates/sched/tests/admission.rs
+++ b/crates/sched/tests/admission.rs
@@ -111,7 +111,7 @@
     without_a_coordinator_daemons_admit_about_as_many_requests_as_there_are_slots(_now) {
         let limits = Limits::default();
         for (slots, daemons) in [(144_u32, 8), (270, 58), (462, 259), (27_000, 560)] {
-            let has_room = |in_flight| Fallback { in_flight, slots, daemons }.has_room(&limits);
+            let has_room = |in_flight| Fallback { in_flight, slots: f64::from(slots), daemons }.has_room(&limits);
             let admitted = (0..slots).find(|in_flight| !has_room(*in_flight)).expect("a limit");
             assert!(admitted >= 1, "a daemon admits nothing");
             let total = f64::from(admitted) * daemons as f64;
@@ -121,7 +121,7 @@
     }
 
     a_daemon_whose_share_is_below_one_slot_still_admits_a_program(_now) {
-        assert!(Fallback { in_flight: 0, slots: 1, daemons: 560 }.has_room(&Limits::default()));
+        assert!(Fallback { in_flight: 0, slots: 1.0, daemons: 560 }.has_room(&Limits::default()));
         let refusal = Fallback::refusal(0.5);
         assert!(refusal.retry_after > Duration::ZERO);
     }
--- a/crates/sched/tests/coordinator.rs
+++ b/crates/sched/tests/coordinator.rs
@@ -1,12 +1,13 @@
 //! Booking of endpoints by a coordinator.
 
 use sched::admission::Stage;
-use sched::coordinator::{Bookings, End, Request};
+use sched::coordinator::{Bookings, End, Group, Request};
 use sched::fleet::{Fleet, Registration, State};
 use sched::request::Part;
 use std::time::{Duration, Instant};
 
 const SLOTS: u32 = 4;
+const HERE: Group<'static> = Group { dc: "here", share: 1.0 };
 
 fn registration(number: usize, incarnation: u64) -> Registration {
     Registration {
@@ -36,6 +37,7 @@
         prompt: Vec::new(),
         memory: 0,
         avoid: Vec::new(),
+        only: None,
     }
 }
 
@@ -52,7 +54,7 @@
     request: &Request,
     now: Instant,
 ) -> sched::id::EndpointId {
-    let booking = bookings.book(fleet, "here", request, now).booking().expect("an engine");
+    let booking = bookings.book(fleet, HERE, request, now).booking().expect("an engine");
     bookings.release(&request.id, &booking.endpoint, End::Done, now);
     booking.endpoint
 }
@@ -67,7 +69,7 @@
     let avoid = all_but(fleet, endpoint);
     for number in 0..count {
         let request = Request { avoid: avoid.clone(), ..request(&format!("crowd-{number}"), None) };
-        bookings.book(fleet, "here", &request, now).booking().expect("an engine");
+        bookings.book(fleet, HERE, &request, now).booking().expect("an engine");
     }
 }
 
@@ -101,7 +103,7 @@
         rng.shuffle(&mut turns);
         let mut engines = Vec::new();
         for turn in &turns {
-            let booking = bookings.book(&fleet, "here", turn, now).booking().expect("an engine");
+            let booking = bookings.book(&fleet, HERE, turn, now).booking().expect("an engine");
             engines.push(booking.endpoint.clone());
             let cache = caches.entry(booking.endpoint).or_default();
             let hit = cache.cached(&turn.prompt);
@@ -119,7 +121,7 @@
 /// Books `count` requests and returns the load of the chosen endpoint before each.
 fn loads(bookings: &mut Bookings, fleet: &Fleet, count: usize, now: Instant) -> Vec<f64> {
     let booked = (0..count).filter_map(|number| {
-        bookings.book(fleet, "here", &request(&format!("r{number}"), None), now).booking()
+        bookings.book(fleet, HERE, &request(&format!("r{number}"), None), now).booking()
     });
     booked.map(|booking| booking.load).collect()
 }
@@ -144,7 +146,7 @@
         let now = start + Duration::from_millis(10 * number);
         let id = format!("f{number}");
         let booking =
-            bookings.book(fleet, "here", &request(&id, None), now).booking().expect("an endpoint");
+            bookings.book(fleet, HERE, &request(&id, None), now).booking().expect("an endpoint");
         let index = fleet
             .usable("s", now)
             .position(|candidate| candidate.registration.id == booking.endpoint);
@@ -182,14 +184,14 @@
             for endpoint in ["e0", "e1"] {
                 let id = format!("{endpoint}-{number}");
                 let request = Request { avoid: all_but(&fleet, endpoint), ..request(&id, None) };
-                bookings.book(&fleet, "here", &request, now).booking().expect("a booking");
+                bookings.book(&fleet, HERE, &request, now).booking().expect("a booking");
                 bookings.release(&id, endpoint, End::Failed, now);
             }
         }
         let mut turns = std::collections::BTreeMap::new();
         for number in 0..14 {
             let (id, program) = (format!("t{number}"), format!("p{number}"));
-            let booking = bookings.book(&fleet, "here", &request(&id, Some(&program)), now).booking();
+            let booking = bookings.book(&fleet, HERE, &request(&id, Some(&program)), now).booking();
             *turns.entry(booking.expect("a booking").endpoint).or_insert(0) += 1;
         }
         assert!(turns.values().all(|count| *count <= SLOTS), "{turns:?}");
@@ -254,7 +256,7 @@
         for agent in 0..u64::from(SLOTS) {
             let mut request = turn(&format!("a{agent}"), 7, 2_000);
             request.prompt.push(Part { id: 100 + agent, tokens: 300 });
-            let booking = bookings.book(&fleet, "here", &request, now).booking().expect("an engine");
+            let booking = bookings.book(&fleet, HERE, &request, now).booking().expect("an engine");
             assert_eq!(booking.endpoint, first);
         }
     }
@@ -279,7 +281,7 @@
 
     an_unsent_booking_does_not_mark_its_prompt_as_cached(now) {
         let (fleet, mut bookings) = (fleet(9), Bookings::default());
-        let unsent = bookings.book(&fleet, "here", &turn("r0", 7, 3_000), now).booking().expect("an engine");
+        let unsent = bookings.book(&fleet, HERE, &turn("r0", 7, 3_000), now).booking().expect("an engine");
         bookings.release("r0", &unsent.endpoint, End::Unsent, now);
         fill(&mut bookings, &fleet, &unsent.endpoint, 1, now);
         assert_ne!(unsent.endpoint, run_turn(&mut bookings, &fleet, &turn("next", 7, 3_500), now));
@@ -290,13 +292,13 @@
         for number in 0..5 {
             let failed = format!("f{number}");
             let request = Request { avoid: all_but(&fleet, "e0"), ..request(&failed, None) };
-            let booking = bookings.book(&fleet, "here", &request, now).booking().expect("an endpoint");
+            let booking = bookings.book(&fleet, HERE, &request, now).booking().expect("an endpoint");
             bookings.release(&failed, &booking.endpoint, End::Failed, now);
         }
         // The two others fill up and queue before the penalized one gets a request.
         for number in 0..3 * SLOTS {
             let turn = turn(&format!("t{number}"), 100 + u64::from(number), 500);
-            assert_ne!(bookings.book(&fleet, "here", &turn, now).booking().expect("an engine").endpoint, "e0");
+            assert_ne!(bookings.book(&fleet, HERE, &turn, now).booking().expect("an engine").endpoint, "e0");
         }
         // After a few seconds it gets a request again, which shows whether it has recovered.
         let later = now + Duration::from_secs(8);
@@ -310,27 +312,27 @@
 
     a_late_release_does_not_end_a_newer_booking(now) {
         let (fleet, mut bookings) = (fleet(2), Bookings::default());
-        let first = bookings.book(&fleet, "here", &request("r0", None), now).booking().expect("an endpoint");
+        let first = bookings.book(&fleet, HERE, &request("r0", None), now).booking().expect("an endpoint");
         let avoid = vec![first.endpoint.clone()];
         let second = Request { avoid, ..request("r0", None) };
-        let second = bookings.book(&fleet, "here", &second, now).booking().expect("an endpoint");
+        let second = bookings.book(&fleet, HERE, &second, now).booking().expect("an endpoint");
         bookings.release("r0", &first.endpoint, End::Failed, now);
         assert_eq!(bookings.len(), 1, "the second booking is still active");
-        let next = bookings.book(&fleet, "here", &request("r1", None), now).booking().expect("an endpoint");
+        let next = bookings.book(&fleet, HERE, &request("r1", None), now).booking().expect("an endpoint");
         assert_eq!(next.endpoint, second.endpoint, "the failure counts for the first endpoint only");
     }
 
     a_success_ends_a_failure_streak(now) {
         let (fleet, mut bookings) = (fleet(1), Bookings::default());
-        let initial_cost = bookings.book(&fleet, "here", &request("r", None), now).booking().expect("an endpoint").cost;
+        let initial_cost = bookings.book(&fleet, HERE, &request("r", None), now).booking().expect("an endpoint").cost;
         for number in 0..6 {
             let id = format!("f{number}");
-            bookings.book(&fleet, "here", &request(&id, None), now).booking();
+            bookings.book(&fleet, HERE, &request(&id, None), now).booking();
             let end = if number % 3 == 2 { End::Done } else { End::Failed };
             bookings.release(&id, "e0", end, now);
         }
         bookings.release("r", "e0", End::Done, now);
-        let cost = bookings.book(&fleet, "here", &request("last", None), now).booking().expect("an endpoint").cost;
+        let cost = bookings.book(&fleet, HERE, &request("last", None), now).booking().expect("an endpoint").cost;
         assert!(cost < initial_cost + 2.0, "{initial_cost} {cost}");
     }
 
@@ -341,7 +343,7 @@
         for number in 0..3 {
             let failed = format!("f{number}");
             let request = Request { avoid: vec![other.into()], ..request(&failed, None) };
-            let booking = bookings.book(&fleet, "here", &request, now).booking().expect("an engine");
+            let booking = bookings.book(&fleet, HERE, &request, now).booking().expect("an engine");
             bookings.release(&failed, &booking.endpoint, End::Failed, now);
         }
         assert_eq!(run_turn(&mut bookings, &fleet, &turn("next", 7, 3_500), now), other);
@@ -355,16 +357,16 @@
 
     a_released_booking_frees_its_slot(now) {
         let (fleet, mut bookings) = (fleet(1), Bookings::default());
-        bookings.book(&fleet, "here", &request("r0", None), now).booking();
+        bookings.book(&fleet, HERE, &request("r0", None), now).booking();
         bookings.release("r0", "e0", End::Done, now);
         bookings.release("r0", "e0", End::Done, now);
-        let booking = bookings.book(&fleet, "here", &request("r1", None), now).booking().expect("an engine");
+        let booking = bookings.book(&fleet, HERE, &request("r1", None), now).booking().expect("an engine");
         assert!(booking.load.abs() < f64::EPSILON);
     }
 
     a_booking_that_is_never_released_expires(now) {
         let (fleet, mut bookings) = (fleet(1), Bookings::default());
-        bookings.book(&fleet, "here", &request("r0", None), now).booking();
+        bookings.book(&fleet, HERE, &request("r0", None), now).booking();
         bookings.sweep(now + Duration::from_secs(1));
         assert_eq!(bookings.len(), 1);
         bookings.sweep(now + Duration::from_secs(30));
@@ -375,12 +377,12 @@
         let (mut fleet, mut bookings) = (fleet(2), Bookings::default());
         fleet.record_failure("e0", now);
         for number in 0..4 {
-            let booking = bookings.book(&fleet, "here", &request(&format!("r{number}"), None), now).booking();
+            let booking = bookings.book(&fleet, HERE, &request(&format!("r{number}"), None), now).booking();
             assert_eq!(booking.expect("an engine").endpoint, "e1");
         }
     }
 
     endpoints_of_another_data_centre_are_not_booked(now) {
-        assert!(Bookings::default().book(&fleet(2), "there", &request("r0", None), now).booking().is_none());
+        assert!(Bookings::default().book(&fleet(2), Group { dc: "there", ..HERE }, &request("r0", None), now).booking().is_none());
     }
 }
--- a/crates/testing/src/overload.rs
+++ b/crates/testing/src/overload.rs
@@ -11,10 +11,12 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 use sched::admission::{Limits, Stage};
-use sched::coordinator::{Bookings, End, Outcome, Request};
+use sched::coordinator::{Bookings, End, Group, Outcome, Request};
 use sched::fleet::{Fleet, Registration, State};
 use std::time::{Duration, Instant};
 
+/// The engines of a simulation.
+const GROUP: Group<'static> = Group { dc: "dc", share: 1.0 };
 /// Duration of a simulation step.
 const STEP: Duration = Duration::from_millis(5);
 /// Fraction by which each other turn in the batch extends the duration of a turn.
@@ -293,8 +295,9 @@
             prompt: Vec::new(),
             memory: 0,
             avoid: Vec::new(),
+            only: None,
         };
-        let booking = match self.bookings.book(&self.fleet, "dc", &booking_request, now) {
+        let booking = match self.bookings.book(&self.fleet, GROUP, &booking_request, now) {
             Outcome::Booked(booking) => booking,
             Outcome::Refused(refusal) => {
                 let retry_after = self.scenario.honor_retry_delay.then_some(refusal.retry_after);
