Log at which software version resumed streams go on

Nothing recorded where a stream goes on. The adapter now decodes the version of an endpoint's software and the id of the client's attempt that began a stream, and an info line for each resumed stream names both versions and whether it goes on within one response. Nothing decides by them yet.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,7 +22,7 @@
 use sched::attempt::{self, Action, Attempt, Progress};
 use sched::coordinator;
 use sched::fleet::{Criteria, Registration};
-use sched::id::{EndpointId, Version};
+use sched::id::{EndpointId, SoftwareVersion, Version};
 use sched::limit::Permit;
 use sched::request::Metadata;
 use sched::retry;
@@ -121,6 +121,8 @@
     retry_timeout: Option<Duration>,
     /// Whether the request is the first of its program.
     stage: Stage,
+    /// Version of the software that began the stream, if it is known.
+    pub origin: Option<SoftwareVersion>,
     /// Retry-After to send if the request was rejected as overload.
     retry_after: Option<Duration>,
     /// Version of the configuration that the route comes from.
@@ -175,6 +177,7 @@
         attempt: Attempt::new(route.kind, route.max_attempts),
         retry_timeout: retry::retry_timeout(route),
         stage: Stage::Continues,
+        origin: None,
         retry_after: None,
         version: table.version,
         deadline: request.received_at + timeout,
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -146,6 +146,9 @@
         let error = match self.wait_for_head(&registration, queued, connection.send(request)).await
         {
             Some(Ok(Ok(response))) => {
+                if purpose == Purpose::Resume {
+                    self.log_resumed(&registration, resume_after);
+                }
                 return self.check_response(response, connection, registration, exchange);
             }
             Some(Ok(Err(error))) => error,
@@ -355,6 +358,21 @@
         self.attempt.on_failure(&registration.id, failure)
     }
 
+    /// Logs that an endpoint responds to a request to go on with a stream.
+    fn log_resumed(&self, registration: &Registration, resume_after: Option<u64>) {
+        let metadata = &self.request.metadata;
+        log::info!(
+            target: "resume",
+            request = metadata.id.as_str(),
+            resumes = metadata.resumes.as_deref().unwrap_or_default(),
+            within_response = resume_after.is_some(),
+            endpoint = registration.id.as_str(),
+            version = registration.version.as_str(),
+            origin = self.origin.as_deref().unwrap_or("unknown");
+            "a stream goes on"
+        );
+    }
+
     fn log_failure(&self, registration: &Registration, why: &str) {
         metrics::counter!("tries_failed_total").increment(1);
         log::info!(
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -30,6 +30,7 @@
             addr: ([10, 0, 0, 1], 80).into(),
             dc: "dc-a".into(),
             slots: 6,
+            version: "v1".into(),
             state: State::Ready,
             incarnation: 1,
         });
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -9,7 +9,7 @@
 //! [`Fleet::place`] compares all endpoints of a small service and a few random ones of a large one,
 //! so its cost is bounded for any size of the fleet.
 
-use crate::id::{DcId, EndpointId, ServiceId};
+use crate::id::{DcId, EndpointId, ServiceId, SoftwareVersion};
 use crate::members;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -54,6 +54,8 @@
     pub dc: DcId,
     /// Number of requests that it runs at the same time.
     pub slots: u32,
+    /// Version of its software; empty if it does not name one.
+    pub version: SoftwareVersion,
     /// Reported readiness.
     pub state: State,
     /// Number of the process; it tells a restarted endpoint from the process that used the same id
--- a/crates/sched/src/id.rs
+++ b/crates/sched/src/id.rs
@@ -28,6 +28,8 @@
 pub type Seq = u32;
 /// Name of a service, a group of equivalent endpoints that routes send requests to.
 pub type ServiceId = CompactString;
+/// Version of the software of an endpoint, which has nothing to do with the weights of its model.
+pub type SoftwareVersion = CompactString;
 /// Name of a team.
 pub type TeamId = CompactString;
 /// Number of tokens.
--- a/crates/sched/src/request.rs
+++ b/crates/sched/src/request.rs
@@ -37,6 +37,8 @@
     pub prompt_parts: Vec<Part>,
     /// Id of the last event that the client received in an earlier attempt.
     pub resume_after: Option<u64>,
+    /// Id of the client's attempt that brought the first event of the stream to be resumed.
+    pub resumes: Option<RequestId>,
 }
 
 impl Metadata {
--- a/crates/sched/tests/coordinator.rs
+++ b/crates/sched/tests/coordinator.rs
@@ -16,6 +16,7 @@
         addr: ([10, 0, 0, 1], 80).into(),
         dc: "here".into(),
         slots: SLOTS,
+        version: "v1".into(),
         state: State::Ready,
         incarnation,
     }
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -10,6 +10,7 @@
         addr: ([10, 0, 0, 1], 80).into(),
         dc: dc.into(),
         slots: 4,
+        version: "v1".into(),
         state: State::Ready,
         incarnation,
     }
--- a/crates/sched/tests/limit.rs
+++ b/crates/sched/tests/limit.rs
@@ -20,6 +20,7 @@
         addr: ([10, 0, 0, 1], 80).into(),
         dc: "here".into(),
         slots: 16,
+        version: "v1".into(),
         state: State::Ready,
         incarnation,
     }
--- a/crates/testing/src/overload.rs
+++ b/crates/testing/src/overload.rs
@@ -215,6 +215,7 @@
         addr: ([10, 0, 0, 1], 80).into(),
         dc: "dc".into(),
         slots,
+        version: "v1".into(),
         state: State::Ready,
         incarnation: 1,
     }
