Show that streams go on at another software version

The harness can register endpoints of several versions, and a scripted endpoint can crash in the middle of a stream.

--- /dev/null
+++ b/crates/catkinshed/tests/versions.rs
@@ -0,0 +1,96 @@
+//! Checks that a stream goes on only at the software version that began it.
+
+use std::time::{Duration, Instant};
+use testing::gateway_harness::{Harness, Response, WAIT_TIMEOUT, streaming};
+use testing::script::{Behaviour, Endpoint};
+use tokio::io::AsyncReadExt;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_catkinshed");
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+/// Number of events of a stream.
+const EVENTS: u64 = 6;
+/// Number of events after which the clients of these tests leave.
+const EVENTS_READ: u64 = 2;
+/// Time within which a request that cannot be served has to be refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
+/// Starts daemons with endpoints of the versions v1 and v2, two of each.
+async fn start(name: &str, daemons: usize, behaviour: Behaviour) -> (Harness, Vec<Endpoint>) {
+    let mut endpoints = Vec::new();
+    for number in 0..4 {
+        endpoints.push(Endpoint::start(&format!("e-{number}"), behaviour.clone()).await);
+    }
+    let listed: Vec<&Endpoint> = endpoints.iter().collect();
+    let harness = Harness::start(BINARY, name, daemons, &listed).await;
+    for endpoint in &endpoints[2..] {
+        harness.register_version(endpoint, "v2", "ready").await;
+    }
+    // All daemons watch the key-value service or follow one that does.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    (harness, endpoints)
+}
+
+/// Returns the version of the endpoint that ran the request, or `None` if none did.
+fn version_of(endpoints: &[Endpoint], request: &str) -> Option<&'static str> {
+    let ran = |endpoint: &Endpoint| endpoint.runs().iter().any(|run| run.id == request);
+    let number = endpoints.iter().position(ran)?;
+    Some(if number < 2 { "v1" } else { "v2" })
+}
+
+/// Starts a stream and leaves after its first events.
+async fn begin_stream(harness: &Harness, daemon: usize, id: &str) {
+    let mut stream = harness.start_request(daemon, "/stream/x", id, &[]).await;
+    let (mut text, mut buffer) = (String::new(), [0; 1024]);
+    let started = Instant::now();
+    while !text.contains(&format!("id: {EVENTS_READ}")) {
+        let read = stream.read(&mut buffer).await.expect("the stream broke off");
+        assert!(read > 0 && started.elapsed() < WAIT_TIMEOUT, "no event: {text}");
+        text += &String::from_utf8_lossy(&buffer[..read]);
+    }
+}
+
+/// Requests the rest of the stream that the client's attempt `begun` began.
+async fn resume_stream(harness: &Harness, daemon: usize, id: &str, begun: &str) -> Response {
+    let resumes = format!("Resumes: {begun}");
+    let after = format!("Last-Event-Id: {EVENTS_READ}");
+    harness.request(daemon, "/stream/x", id, &[&resumes, &after, "Deadline-Ms: 1500"]).await
+}
+
+/// Guards against a relay that resumes a stream at any endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_mixes_two_software_versions_in_one_response() {
+    let crash = Behaviour::Crash { events: EVENTS_READ, gap: EVENT_INTERVAL };
+    let (harness, endpoints) = start("version-relay", 1, crash).await;
+    let response = harness.request(0, "/stream/x", "r-1", &["Deadline-Ms: 2000"]).await;
+    let versions: Vec<bool> = endpoints.iter().map(|found| !found.runs().is_empty()).collect();
+    let (old, new) = (versions[0] || versions[1], versions[2] || versions[3]);
+    assert!(!(old && new), "v1 and v2 ran the stream: {versions:?}");
+    assert!(versions.iter().filter(|ran| **ran).count() == 2, "it goes on at its version");
+    assert!(!response.complete, "{response:?}");
+}
+
+/// Guards against a daemon that goes on with another daemon's stream at any endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_resumes_a_stream_at_another_software_version() {
+    let (harness, endpoints) = start("version-client", 3, streaming(EVENTS, EVENT_INTERVAL)).await;
+    for number in 0..8 {
+        let (begun, resumed) = (format!("a-{number}"), format!("b-{number}"));
+        begin_stream(&harness, number % 3, &begun).await;
+        let response = resume_stream(&harness, (number + 1) % 3, &resumed, &begun).await;
+        assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+        let (began, goes_on) = (version_of(&endpoints, &begun), version_of(&endpoints, &resumed));
+        assert_eq!(goes_on, began, "stream {number}");
+    }
+}
+
+/// Guards against a daemon that guesses where a stream began that it knows nothing about.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_unknown_origin_goes_on_somewhere() {
+    let (harness, endpoints) = start("version-unknown", 2, streaming(EVENTS, EVENT_INTERVAL)).await;
+    let started = Instant::now();
+    let response = resume_stream(&harness, 0, "r-2", "r-1").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(started.elapsed() < REFUSAL_TIME, "refused after {:?}", started.elapsed());
+    assert_eq!(version_of(&endpoints, "r-2"), None);
+}
--- a/crates/testing/src/gateway_harness.rs
+++ b/crates/testing/src/gateway_harness.rs
@@ -263,13 +263,20 @@
     ///
     /// Panics if the write fails for longer than [`WAIT_TIMEOUT`].
     pub async fn register_at(&self, id: &str, service: &str, addr: SocketAddr, state: &str) {
-        let value = json!({
-            "backend": service, "address": addr.to_string(), "zone": "dc-1", "version": "v1",
-            "slots": 4, "state": state, "call_seq": 1, "born": 1,
-        });
+        let value = registration(service, addr, "v1", state);
         self.put(&format!("servers/{id}"), &value).await;
     }
 
+    /// Registers an endpoint with a version of its software for service `s` in state `state`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the write fails for longer than [`WAIT_TIMEOUT`].
+    pub async fn register_version(&self, endpoint: &Endpoint, version: &str, state: &str) {
+        let value = registration("s", endpoint.addr, version, state);
+        self.put(&format!("servers/{}", endpoint.id), &value).await;
+    }
+
     /// Deletes an endpoint's registration.
     ///
     /// # Panics
@@ -391,6 +398,14 @@
     }
 }
 
+/// Returns the registration of an endpoint in the platform's format.
+fn registration(service: &str, addr: SocketAddr, version: &str, state: &str) -> Value {
+    json!({
+        "backend": service, "address": addr.to_string(), "zone": "dc-1", "version": version,
+        "slots": 4, "state": state, "call_seq": 1, "born": 1,
+    })
+}
+
 /// Returns a route to `service` in the platform's configuration format; only streams of the route
 /// `stream` are resumable.
 pub fn route(prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 
 /// Maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -36,6 +37,14 @@
         /// Number of complete events after which the stream breaks off.
         breaks_after: Option<u64>,
     },
+    /// Streams `events` events, one every `gap`, then closes the connection in the middle of the next
+    /// one and accepts no more connections, like a process that crashes.
+    Crash {
+        /// Number of complete events.
+        events: u64,
+        /// Time between two events.
+        gap: Duration,
+    },
     /// Refuses the request with status 503 and a header saying that it was not run.
     Full,
     /// Refuses the request with status 421 and the id of another endpoint.
@@ -86,6 +95,8 @@
     runs: Vec<Run>,
     abandoned: Vec<(String, Instant)>,
     connections: usize,
+    /// Task that accepts connections.
+    listener: Option<AbortHandle>,
     rate_limit: Option<f64>,
 }
 
@@ -110,7 +121,8 @@
         let listener = TcpListener::bind(addr).await.expect("failed to bind the endpoint");
         let state = State { default: Some(default), ..State::default() };
         let endpoint = Self { id: id.to_owned(), addr, state: Arc::new(Mutex::new(state)) };
-        tokio::spawn(endpoint.clone().accept(listener));
+        let accept = tokio::spawn(endpoint.clone().accept(listener));
+        endpoint.lock().listener = Some(accept.abort_handle());
         endpoint
     }
 
@@ -123,6 +135,13 @@
         self.lock().script.extend(behaviours);
     }
 
+    /// Closes the listening socket, so that the endpoint accepts no more connections.
+    pub fn stop(&self) {
+        if let Some(listener) = self.lock().listener.take() {
+            listener.abort();
+        }
+    }
+
     /// Sets the limit on requests per second that the endpoint names in its responses; `None` names
     /// none. The endpoint doesn't enforce it.
     pub fn set_rate_limit(&self, rate_limit: Option<f64>) {
@@ -198,6 +217,11 @@
             Behaviour::Stream { events, gap, breaks_after } => {
                 self.stream(stream, run, events, gap, breaks_after).await
             }
+            Behaviour::Crash { events, gap } => {
+                let keep_alive = self.stream(stream, run, u64::MAX, gap, Some(events)).await;
+                self.stop();
+                keep_alive
+            }
             Behaviour::Full => {
                 self.send(stream, &refusal(&run.id, 503, "Not-Executed: 1\r\n")).await
             }
