Let streams go on only at the software version that began them

Cause: placement took any endpoint of the service for a resumed stream, within one response and for the client's next attempt, which may reach any daemon. The version was dropped with the registration. The class is a fact about a request that only the process that relayed its start held, where the fleet needs it.

Change: the daemon that forwards a stream's first event records the version at two members that the rendezvous hash of the attempt's id selects, with one message each. A daemon that gets a later attempt asks these, and one more in case a member joined, at the same time. Bookings, local placement and retries at one endpoint are then restricted to the version. A stream without a record is refused at once with 503 and is not run: a record can be lost but not be wrong, so a daemon that was restarted, cut off or never told cannot mix versions. A look-up is needed because nothing that a client sends determines the version: it names only the attempt. A hash of that id onto versions needs all daemons to agree on the set of versions at the time when the stream began, which a daemon that is cut off during a release does not.

Why it works: every path to an endpoint compares the registration's version with the recorded one, and there is no path on for a stream without a record.

--- a/crates/catkinshed/tests/versions.rs
+++ b/crates/catkinshed/tests/versions.rs
@@ -94,3 +94,52 @@
     assert!(started.elapsed() < REFUSAL_TIME, "refused after {:?}", started.elapsed());
     assert_eq!(version_of(&endpoints, "r-2"), None);
 }
+
+/// Guards against streams that cannot go on because the daemon that relayed them is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_killed_daemon_are_refused() {
+    let (mut harness, endpoints) =
+        start("version-kill", 3, streaming(EVENTS, EVENT_INTERVAL)).await;
+    for number in 0..6 {
+        begin_stream(&harness, 0, &format!("a-{number}")).await;
+    }
+    harness.daemons[0].process.kill();
+    for number in 0..6 {
+        let (begun, resumed) = (format!("a-{number}"), format!("b-{number}"));
+        let response = resume_stream(&harness, 1 + number % 2, &resumed, &begun).await;
+        assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+        let (began, goes_on) = (version_of(&endpoints, &begun), version_of(&endpoints, &resumed));
+        assert_eq!(goes_on, began, "stream {number}");
+    }
+}
+
+/// Guards against a restarted daemon that reaches no other and goes on with streams anyway.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_daemon_that_reaches_no_other_resumes_streams() {
+    let (mut harness, endpoints) =
+        start("version-restart", 2, streaming(EVENTS, EVENT_INTERVAL)).await;
+    begin_stream(&harness, 0, "a-1").await;
+    harness.daemons[1].process.kill();
+    harness.daemons[0].restart();
+    harness.daemons[0].ready().await;
+    let started = Instant::now();
+    let response = resume_stream(&harness, 0, "b-1", "a-1").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(started.elapsed() < REFUSAL_TIME, "refused after {:?}", started.elapsed());
+    assert_eq!(version_of(&endpoints, "b-1"), None);
+}
+
+/// Guards against a stream that goes on at another version because its own has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_version_has_left_goes_on_at_another() {
+    let (harness, endpoints) = start("version-left", 2, streaming(EVENTS, EVENT_INTERVAL)).await;
+    begin_stream(&harness, 0, "a-1").await;
+    let old = version_of(&endpoints, "a-1").expect("a run");
+    for endpoint in if old == "v1" { &endpoints[..2] } else { &endpoints[2..] } {
+        harness.register_version(endpoint, old, "draining").await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let response = resume_stream(&harness, 1, "b-1", "a-1").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(version_of(&endpoints, "b-1"), None);
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -30,6 +30,8 @@
     NoOwner,
     /// The durable record of the program's budget cannot be read or written.
     NoRecord,
+    /// It is not known which software version began the stream to be resumed; it has not run.
+    NoOrigin,
     /// No endpoint accepts the request; it has not run.
     NoEndpoint,
     /// The service is overloaded; the request has not run.
@@ -54,6 +56,7 @@
             | Self::Stopping
             | Self::NoOwner
             | Self::NoRecord
+            | Self::NoOrigin
             | Self::NoEndpoint
             | Self::Overloaded
             | Self::DeadlineNotRun => StatusCode::SERVICE_UNAVAILABLE,
@@ -73,6 +76,7 @@
             Self::BudgetSpent => "budget_spent",
             Self::NoOwner => "no_owner",
             Self::NoRecord => "no_record",
+            Self::NoOrigin => "no_origin",
             Self::NoEndpoint => "no_endpoint",
             Self::Overloaded => "overloaded",
             Self::DeadlineNotRun => "deadline_not_run",
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -148,9 +148,9 @@
     sync_status: Arc<SyncStatus>,
 ) {
     let key: Arc<[u8]> = context.settings.cluster_key.as_bytes().into();
-    let coordinators = context.coordinators.clone();
+    let (coordinators, origins) = (context.coordinators.clone(), context.origins.clone());
     let handle = move |request, sender| {
-        peers::handle(request, sender, &budgets, &view, &sync_status, &coordinators)
+        peers::handle(request, sender, &budgets, &view, &sync_status, &coordinators, &origins)
     };
     if let Err(error) = peer::server::serve(listener, key, handle).await {
         log::error!("stopped serving peers: {error}");
@@ -169,6 +169,7 @@
         context.pool.sweep(now);
         context.budgets.sweep(now);
         context.coordinators.sweep(now);
+        context.origins.sweep(now);
         context.coordinators.log_limited();
         context.view.with_fleet(|fleet| fleet.sweep(now));
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,6 +8,7 @@
 use crate::answer::{self, Body, Reason};
 use crate::budgets::{Budgets, Error as BudgetsError, Reservation};
 use crate::coordinators::{BookingGuard, Coordinators, Placement};
+use crate::origins::Origins;
 use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::upstream::{Connection, Pool};
@@ -59,6 +60,8 @@
     pub budgets: Arc<Budgets>,
     /// Bookings of endpoints.
     pub coordinators: Arc<Coordinators>,
+    /// Software versions that began streams.
+    pub origins: Arc<Origins>,
     buffers: answers::Limiter,
     retry_budget: Mutex<retry::Budget>,
     rng: Mutex<fastrand::Rng>,
@@ -70,9 +73,10 @@
         let rng = Mutex::new(fastrand::Rng::new());
         let coordinators =
             Arc::new(Coordinators::new(settings.clone(), view.clone(), budgets.clone()));
+        let origins = Arc::new(Origins::new(settings.clone(), view.clone(), budgets.clone()));
         let (pool, buffers, retry_budget) =
             (Arc::default(), answers::Limiter::default(), Mutex::default());
-        Self { settings, view, pool, budgets, coordinators, buffers, retry_budget, rng }
+        Self { settings, view, pool, budgets, coordinators, origins, buffers, retry_budget, rng }
     }
 
     fn with_rng<R>(&self, sample: impl FnOnce(&mut fastrand::Rng) -> R) -> R {
@@ -122,7 +126,7 @@
     /// Whether the request is the first of its program.
     stage: Stage,
     /// Version of the software that began the stream, if it is known.
-    pub origin: Option<SoftwareVersion>,
+    origin: Option<SoftwareVersion>,
     /// Retry-After to send if the request was rejected as overload.
     retry_after: Option<Duration>,
     /// Version of the configuration that the route comes from.
@@ -217,6 +221,9 @@
         if self.retry_timeout.is_some() {
             self.context.with_retry_budget(retry::Budget::deposit);
         }
+        if let Err(reason) = self.find_origin().await {
+            return self.give_up(reason);
+        }
         let reservation = match self.reserve().await {
             Ok(reservation) => reservation,
             Err(response) => return *response,
@@ -245,6 +252,36 @@
         }
     }
 
+    /// Finds out which software version began the stream that the client resumes, if it does.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for a local reply when the version is not known.
+    async fn find_origin(&mut self) -> Result<(), Reason> {
+        let metadata = &self.request.metadata;
+        if !self.route.kind.is_stream() || metadata.resume_after.is_none() {
+            return Ok(());
+        }
+        let begun = metadata.resumes.as_ref().ok_or(Reason::NoOrigin)?;
+        self.origin = self.context.origins.find(begun).await;
+        let known = if self.origin.is_some() { "yes" } else { "no" };
+        metrics::counter!("streams_resumed_by_clients_total", "known" => known).increment(1);
+        self.origin.as_ref().map(drop).ok_or(Reason::NoOrigin)
+    }
+
+    /// Records that an endpoint of `version` sent the first event of the stream.
+    pub fn record_origin(&mut self, version: &SoftwareVersion) {
+        if self.origin.is_none() {
+            self.origin = Some(version.clone());
+            self.context.origins.record(&self.request.metadata.id, version);
+        }
+    }
+
+    /// Returns whether an endpoint has the version that began the stream, if one did.
+    fn allows(&self, registration: &Registration) -> bool {
+        self.origin.as_ref().is_none_or(|origin| *origin == registration.version)
+    }
+
     /// Reserves the tokens of a turn from its program's budget; returns `None` for a request that
     /// is not a turn of a program with a budget.
     ///
@@ -353,12 +390,13 @@
             view.with_fleet(|fleet| {
                 fleet.registration(id).filter(|found| fleet.accepts(found, now))
             })
+            .filter(|found| self.allows(found))
         };
         if let Some(registration) = preferred.as_ref().and_then(registration) {
             return self.target_at(registration).await;
         }
         match self.context.coordinators.book(self.booking_request()).await {
-            Placement::Booked(booked, permit) => {
+            Placement::Booked(booked, permit) if self.allows(&booked.registration) => {
                 let registration = booked.registration.clone();
                 return Ok(Target { registration, booked: Some(*booked), permit });
             }
@@ -377,7 +415,8 @@
                 let limited = self.context.coordinators.limited(&self.service, now);
                 return self.select_locally(limited).ok_or_else(|| self.no_endpoint_reason());
             }
-            Placement::Unknown => {}
+            // The coordinator may know another version of an endpoint that started again.
+            Placement::Booked(..) | Placement::Unknown => {}
         }
         let exhausted = self.context.coordinators.exhausted_alone(&self.service, now);
         self.select_locally(exhausted).ok_or_else(|| self.no_endpoint_reason())
@@ -438,6 +477,7 @@
             memory: self.engine().map_or(0, |engine| engine.memory),
             avoid: self.attempt.excluded().to_vec(),
             only: None,
+            version: self.origin.clone(),
         }
     }
 
@@ -455,6 +495,7 @@
             affinity,
             affinity_load: AFFINITY_LOAD,
             avoid: &avoid,
+            version: self.origin.as_ref(),
         };
         let registration = self.context.with_rng(|rng| {
             view.with_fleet(|fleet| fleet.place(&self.service, &criteria, rng, now))
@@ -565,7 +606,9 @@
     /// Ends the request with a local reply, with a Retry-After if the reason calls for one.
     fn give_up(&self, reason: Reason) -> Response<Body> {
         let retry_after = match reason {
-            Reason::NoEndpoint => self.context.retry_after(RETRY_AFTER_NO_ENDPOINT),
+            Reason::NoEndpoint | Reason::NoOrigin => {
+                self.context.retry_after(RETRY_AFTER_NO_ENDPOINT)
+            }
             Reason::Overloaded => self.retry_after,
             Reason::DeadlineNotRun | Reason::Stopping => {
                 self.context.retry_after(RETRY_AFTER_UNAVAILABLE)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //!   stores their durable part, [`draws`] batches changes to it into one call, and [`terms`] opens
 //!   the terms that determine the allocators;
 //! * [`coordinators`] books endpoints, so that the daemons together spread the load evenly;
+//! * [`origins`] records which software versions began streams;
 //! * [`retire`] answers requests to retire a storage VM;
 //! * [`daemon`] starts and stops a gateway, [`settings`] defines its settings, [`inflight`] counts
 //!   connections that a shutdown waits for, and [`signals`] handles the platform's signals;
@@ -34,6 +35,7 @@
 pub mod inflight;
 pub mod ingress;
 pub mod members;
+pub mod origins;
 pub mod owner;
 pub mod peers;
 pub mod probes;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::budgets::Budgets;
 use crate::coordinators::Coordinators;
 use crate::draws::Draw;
+use crate::origins::Origins;
 use crate::view::{Cursor, Update, View};
 use crate::view_sync::SyncStatus;
 use peer::gateway::{Command, Response};
@@ -25,6 +26,7 @@
     view: &Arc<View>,
     sync_status: &Arc<SyncStatus>,
     coordinators: &Arc<Coordinators>,
+    origins: &Arc<Origins>,
 ) {
     let Request::Gateway(command) = request else {
         log::warn!(target: "peers", "rejected a request from a daemon that is not a gateway");
@@ -75,6 +77,14 @@
                 reply(&sender, Response::Drawn(drawn)).await;
             });
         }
+        Command::Began { request, version } => {
+            origins.record_locally(request, version, Instant::now());
+        }
+        Command::FindOrigin(request) => {
+            let version = origins.find_locally(&request);
+            // If the peer is gone, so is its client's attempt.
+            tokio::spawn(async move { reply(&sender, Response::Origin(version)).await });
+        }
         Command::Subscribe { version, revision } => {
             let cursor = Cursor::new(version, revision);
             tokio::spawn(send_updates(cursor, sender, view.clone(), sync_status.clone()));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -160,8 +160,8 @@
             self.last_event_id = Some(id);
         }
         self.event_forwarded = true;
-        if let (None, Some(source)) = (&self.forwarder.origin, &self.source) {
-            self.forwarder.origin = Some(source.registration.version.clone());
+        if let Some(source) = &self.source {
+            self.forwarder.record_origin(&source.registration.version);
         }
         if let Some(reservation) = &self.reservation {
             reservation.add_handed_out(self.event_tokens, Instant::now());
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -450,6 +450,7 @@
                 | Response::Drawn(_)
                 | Response::Inherited(_)
                 | Response::Booked(_)
+                | Response::Origin(_)
                 | Response::Noted => return,
             };
             if !watching {
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use sched::coordinator;
 use sched::fleet::Registration;
-use sched::id::{DcId, EndpointId, ProgramId, RequestId, Tokens, Version, VmId};
+use sched::id::{DcId, EndpointId, ProgramId, RequestId, SoftwareVersion, Tokens, Version, VmId};
 use sched::limit;
 use sched::route::Table;
 use sched::spend;
@@ -135,6 +135,15 @@
         /// How the request ended at the endpoint.
         end: coordinator::End,
     },
+    /// Records which software version sent the first event of a stream; gets no response.
+    Began {
+        /// Client's attempt that brought the event.
+        request: RequestId,
+        /// Version of the endpoint's software.
+        version: SoftwareVersion,
+    },
+    /// Asks which software version began the stream of this client's attempt.
+    FindOrigin(RequestId),
     /// Subscribes to the view and its changes.
     #[serde(rename = "Follow")]
     Subscribe {
@@ -169,6 +178,8 @@
     Inherited(spend::Transfer),
     /// The reports of [`Command::Limits`] are merged.
     Noted,
+    /// Version that began a stream; `None` if the daemon has no record of it.
+    Origin(Option<SoftwareVersion>),
     /// Outcome of a booking.
     Booked(coordinator::Outcome),
     /// Decision on a reservation: whether the turn may run.
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -44,7 +44,8 @@
         let fleet = fleet(count);
         let mut rng = fastrand::Rng::with_seed(1);
         let now = Instant::now();
-        let criteria = Criteria { dc: "dc-a", affinity: "program", affinity_load: 0.3, avoid: &[] };
+        let criteria =
+            Criteria { dc: "dc-a", affinity: "program", affinity_load: 0.3, ..Criteria::default() };
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| fleet.place("models", &criteria, &mut rng, now));
         });
@@ -68,6 +69,7 @@
             memory: 60_000,
             avoid: Vec::new(),
             only: None,
+            version: None,
         };
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
--- a/crates/sched/src/coordinator.rs
+++ b/crates/sched/src/coordinator.rs
@@ -24,7 +24,7 @@
 
 use crate::admission::{self, Controller, Limits, Load, Refusal, Stage};
 use crate::fleet::{Candidate, Fleet, Registration};
-use crate::id::{EndpointId, ProgramId, RequestId, ServiceId, Tokens};
+use crate::id::{EndpointId, ProgramId, RequestId, ServiceId, SoftwareVersion, Tokens};
 use crate::limit::{self, Permit, SLOT_TIME};
 use crate::members;
 use crate::prefix::Cache;
@@ -88,6 +88,17 @@
     pub avoid: Vec<EndpointId>,
     /// Endpoint that alone may run the request, because it may have run there; `None` for any.
     pub only: Option<EndpointId>,
+    /// Software version that alone may run the request, because it began the stream; `None` for any.
+    pub version: Option<SoftwareVersion>,
+}
+
+impl Request {
+    /// Returns whether an endpoint is one that may run the request.
+    fn allows(&self, registration: &Registration) -> bool {
+        let version = self.version.as_ref();
+        self.only.as_ref().is_none_or(|only| *only == registration.id)
+            && version.is_none_or(|version| *version == registration.version)
+    }
 }
 
 /// The endpoints that a daemon books as their coordinator.
@@ -261,10 +272,8 @@
         now: Instant,
     ) -> Option<Load> {
         let (mut used, mut slots, mut least) = (0.0, 0.0, f64::INFINITY);
-        let usable = fleet.usable(&request.service, now);
-        for Candidate { registration, .. } in
-            usable.filter(|candidate| group.contains(candidate.registration))
-        {
+        let usable = fleet.usable(&request.service, now).map(|candidate| candidate.registration);
+        for registration in usable.filter(|found| group.contains(found) && request.allows(found)) {
             let load = self.load(registration, now);
             let own_slots = self.rate_limits.slots(registration);
             used += load * own_slots;
@@ -285,10 +294,9 @@
         let max_delay = Duration::try_from_secs_f64(max_wait_s).unwrap_or(Duration::MAX);
         let mut least_delay = Duration::MAX;
         let usable = fleet.usable(&request.service, now).filter(|candidate| {
-            let id = &candidate.registration.id;
             group.contains(candidate.registration)
-                && !request.avoid.contains(id)
-                && request.only.as_ref().is_none_or(|only| only == id)
+                && request.allows(candidate.registration)
+                && !request.avoid.contains(&candidate.registration.id)
         });
         let permitted = usable.filter(|candidate| {
             let delay = self.rate_limits.delay(candidate.registration, now);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -102,6 +102,8 @@
     pub affinity_load: f64,
     /// Endpoints that already refused the request.
     pub avoid: &'a [EndpointId],
+    /// Software version that alone may run the request; `None` for any.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 /// An endpoint that accepts new requests.
@@ -256,13 +258,18 @@
         let ids = self.services.get(service)?;
         let candidates: Vec<&Endpoint> = match ids.len() {
             0..=MAX_FULL_SCAN => self.in_service(service).collect(),
+            // Samples may miss a version that few endpoints have.
+            _ if criteria.version.is_some() => self.in_service(service).collect(),
             count => (0..SAMPLES)
                 .filter_map(|_| ids.get_index(rng.usize(..count)))
                 .filter_map(|id| self.endpoints.get(id))
                 .collect(),
         };
         let usable = candidates.into_iter().filter(|endpoint| {
-            endpoint.usable(now) && !criteria.avoid.contains(&endpoint.registration.id)
+            let registration = &endpoint.registration;
+            endpoint.usable(now)
+                && !criteria.avoid.contains(&registration.id)
+                && criteria.version.is_none_or(|version| *version == registration.version)
         });
         let best = usable.min_by(|left, right| {
             let order =
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,7 +9,7 @@
 //! * [`queue`], [`place`], [`predict`] and [`health`] select which call runs next, and at which
 //!   endpoint;
 //! * [`route`], [`request`], [`attempt`], [`fleet`], [`prefix`], [`coordinator`], [`admission`],
-//!   [`limit`], [`retry`], [`spend`] and [`term`] handle requests that are routed by host and path;
+//!   [`limit`], [`origin`], [`retry`], [`spend`] and [`term`] handle requests that are routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons.
 
 pub mod admission;
@@ -24,6 +24,7 @@
 pub mod limit;
 pub mod log;
 pub mod members;
+pub mod origin;
 pub mod place;
 pub mod predict;
 pub mod prefix;
--- a/crates/sched/tests/coordinator.rs
+++ b/crates/sched/tests/coordinator.rs
@@ -39,6 +39,7 @@
         memory: 0,
         avoid: Vec::new(),
         only: None,
+        version: None,
     }
 }
 
@@ -215,6 +216,7 @@
                 affinity: &format!("p{number}"),
                 affinity_load: 0.3,
                 avoid: &[],
+                ..Default::default()
             };
             let choice = fleet.place("s", &criteria, &mut fastrand::Rng::with_seed(1), now);
             *counts.entry(choice.expect("an endpoint").id).or_insert(0_u32) += 1;
--- a/crates/sched/tests/limit.rs
+++ b/crates/sched/tests/limit.rs
@@ -59,6 +59,7 @@
         memory: 0,
         avoid: Vec::new(),
         only: None,
+        version: None,
     }
 }
 
--- a/crates/testing/src/overload.rs
+++ b/crates/testing/src/overload.rs
@@ -297,6 +297,7 @@
             memory: 0,
             avoid: Vec::new(),
             only: None,
+            version: None,
         };
         let booking = match self.bookings.book(&self.fleet, GROUP, &booking_request, now) {
             Outcome::Booked(booking) => booking,
