--- a/crates/gateway/src/coordinators.rs
+++ b/crates/gateway/src/coordinators.rs
@@ -162,8 +162,6 @@
     }
 
     /// Books the endpoint that alone may run a request.
-    ///
-    /// Without a reachable coordinator, the permit comes from this daemon's own part of the limit.
     pub async fn book_at(
         self: &Arc<Self>,
         registration: Registration,
@@ -265,9 +263,12 @@
         now: Instant,
     ) -> Outcome {
         lock(&self.askers).insert(daemon.clone(), now);
-        let share = self.standing(&request.service, dc, now).share();
         let mut bookings = self.bookings();
         bookings.rate_limits.merge(reports, now);
+        let share = match bookings.rate_limits.is_empty() {
+            true => 1.0,
+            false => self.standing(&request.service, dc, now).share(),
+        };
         self.view.with_fleet(|fleet| bookings.book(fleet, Group { dc, share }, request, now))
     }
 
