--- a/crates/gateway/src/coordinators.rs
+++ b/crates/gateway/src/coordinators.rs
@@ -30,7 +30,6 @@
 const BUSY_LOAD: f64 = 0.8;
 /// Cost of sending a request to another data centre, in turns of a full engine.
 const REMOTE_COST: f64 = 0.05;
-
 /// Maximum number of other data centres whose coordinators are asked while endpoints have limits.
 const MAX_REMOTE_DCS: usize = 2;
 /// Interval of the reports between the members that may grant permits for the same endpoints.
--- a/crates/sched/benches/gateway.rs
+++ b/crates/sched/benches/gateway.rs
@@ -11,8 +11,9 @@
 use sched::term::InitialAllowance;
 use std::time::{Duration, Instant};
 
-/// Numbers of endpoints of one service, from a small site to the whole fleet.
+/// Endpoints of one coordinator.
 const GROUP: Group<'static> = Group { dc: "dc-a", share: 1.0 };
+/// Numbers of endpoints of one service, from a small site to the whole fleet.
 const ENDPOINTS: [usize; 4] = [9, 45, 450, 4_500];
 /// Numbers of endpoints of one service in one data centre.
 const GROUP_SIZES: [usize; 3] = [9, 32, 300];
