--- a/crates/sched/src/limit.rs
+++ b/crates/sched/src/limit.rs
@@ -12,8 +12,9 @@
 //!   and they to it, so their buckets agree if several of them book at the same time.
 //! * A coordinator that cannot tell whether another one is active spends only the part of the limit
 //!   that belongs to the daemons that ask it, see [`Standing`]. A daemon that reaches no coordinator
-//!   is the only one that asks itself. The parts of all daemons add up to the limit, without a
-//!   minimum for each.
+//!   is the only one that asks itself. The parts of these daemons add up to at most the limit,
+//!   without a minimum for each. They come on top of what a confirmed coordinator spends, until
+//!   their reports reach it.
 //!
 //! A bucket starts empty: what earlier coordinators granted is not known.
 
