--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds what the scripts of the review start, besides the project's own build.
 set -e
 cd "$(dirname "$0")/.."
-cargo build --release --offline --manifest-path review/stand/Cargo.toml --target-dir target/review
+cargo build --release --locked --manifest-path review/stand/Cargo.toml --target-dir target/review
