Check at the moment of sending that an endpoint accepts requests

Cause: a coordinator books endpoints for a whole data centre from its own view. When it has just woken or is cut off, that view is old, and the daemons that asked it sent their requests there although their own views had the endpoint as draining or gone. Only preferred endpoints were compared with the sender's view, and only when they were chosen.

Change: Fleet::accepts is asked for every request right before it is sent, whichever way its endpoint was chosen: a booking, a preferred endpoint, a retry, a resumed stream, after a wait for a permit or a connection. A booking names the incarnation, is compared with the view when it arrives, and is released and asked for again, up to three times, if the endpoint accepts nothing. The daemon tells the coordinator which endpoints of the service drain or left in the last 10 s, so a stale coordinator books another one at the first attempt and no booking is lost while views differ.

New log line (target steward) for a rejected booking, counters bookings_rejected_total and sends_withdrawn_total.

--- a/crates/gateway/src/coordinators.rs
+++ b/crates/gateway/src/coordinators.rs
@@ -23,6 +23,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Maximum number of bookings that are asked for in one data centre, because the coordinator books
+/// endpoints that this daemon knows to accept no requests.
+const MAX_BOOKINGS: usize = 3;
 /// Timeout of one request to a coordinator.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(60);
 /// Load of the booked endpoint from which the coordinator of another data centre is asked too, as a
@@ -71,7 +74,8 @@
 
 impl Drop for BookingGuard {
     fn drop(&mut self) {
-        self.coordinators.release(self);
+        let Self { coordinators, coordinator, request, registration, end, .. } = self;
+        coordinators.release(coordinator, request, &registration.id, *end);
     }
 }
 
@@ -170,42 +174,71 @@
         self.book_in(&registration.dc, &coordinator::Request { only, ..request }).await
     }
 
+    /// Books an endpoint in a data centre that accepts requests according to this daemon's view.
+    ///
+    /// The coordinator's view may be older, for example when it has just woken. It is told which
+    /// endpoints to avoid, and asked again if it books one of them all the same.
     async fn book_in(self: &Arc<Self>, dc: &str, request: &coordinator::Request) -> Placement {
         let now = Instant::now();
-        let coordinator = self.view.with_members(|live| {
-            members::coordinator(&request.service, dc, live, &self.suspects, now).cloned()
-        });
-        let Some(coordinator) = coordinator else {
-            return Placement::Unknown;
-        };
-        let outcome = match coordinator.vm == self.settings.vm {
-            true => Some(self.book_locally(dc, request, &self.settings.vm, &[], now)),
-            false => self.ask_coordinator(&coordinator, dc, request).await,
-        };
-        match outcome {
-            Some(Outcome::Booked(booking)) => self.guard(coordinator, request, booking),
-            Some(Outcome::Refused(refusal)) => Placement::Refused(refusal),
-            Some(Outcome::NoEndpoint) | None => Placement::Unknown,
+        let mut request = request.clone();
+        let withdrawn = self.view.with_fleet(|fleet| fleet.withdrawn(&request.service, now));
+        request.avoid.extend(withdrawn);
+        for _ in 0..MAX_BOOKINGS {
+            let now = Instant::now();
+            let coordinator = self.view.with_members(|live| {
+                members::coordinator(&request.service, dc, live, &self.suspects, now).cloned()
+            });
+            let Some(coordinator) = coordinator else {
+                return Placement::Unknown;
+            };
+            let outcome = match coordinator.vm == self.settings.vm {
+                true => Some(self.book_locally(dc, &request, &self.settings.vm, &[], now)),
+                false => self.ask_coordinator(&coordinator, dc, &request).await,
+            };
+            let booking = match outcome {
+                Some(Outcome::Booked(booking)) => booking,
+                Some(Outcome::Refused(refusal)) => return Placement::Refused(refusal),
+                Some(Outcome::NoEndpoint) | None => return Placement::Unknown,
+            };
+            match self.accept_booking(coordinator, &request, booking, Instant::now()) {
+                Ok(placement) => return placement,
+                Err(endpoint) => request.avoid.push(endpoint),
+            }
         }
+        Placement::Unknown
     }
 
-    fn guard(
+    /// Accepts a booking, or releases it and returns the booked endpoint if that accepts no requests
+    /// according to this daemon's view.
+    fn accept_booking(
         self: &Arc<Self>,
         coordinator: Member,
         request: &coordinator::Request,
         booking: Booking,
-    ) -> Placement {
-        let Booking { endpoint, permit, load, cost } = booking;
-        // A booking of an endpoint that is not in the local view is not released; it expires.
-        let Some(registration) = self.view.with_fleet(|fleet| fleet.registration(&endpoint)) else {
-            return Placement::Unknown;
+        now: Instant,
+    ) -> Result<Placement, EndpointId> {
+        let Booking { endpoint, incarnation, permit, load, cost } = booking;
+        let known = self.view.with_fleet(|fleet| {
+            let known = fleet.registration(&endpoint)?;
+            (known.incarnation == incarnation && fleet.accepts(&known, now)).then_some(known)
+        });
+        let Some(registration) = known else {
+            metrics::counter!("bookings_rejected_total").increment(1);
+            log::info!(
+                target: "steward", request = request.id.as_str(),
+                steward = coordinator.vm.as_str(), endpoint = endpoint.as_str(),
+                incarnation, revision = self.view.revision();
+                "rejected a booking of an endpoint that accepts no requests in this view"
+            );
+            self.release(&coordinator, &request.id, &endpoint, coordinator::End::Unsent);
+            return Err(endpoint);
         };
-        self.with_limits(|limits| limits.learn(&registration, &permit, Instant::now()));
+        self.with_limits(|limits| limits.learn(&registration, &permit, now));
         let (coordinators, request) = (self.clone(), request.id.clone());
         let end = coordinator::End::Unsent;
         let guard =
             BookingGuard { coordinators, coordinator, request, registration, load, cost, end };
-        Placement::Booked(Box::new(guard), permit)
+        Ok(Placement::Booked(Box::new(guard), permit))
     }
 
     async fn ask_coordinator(
@@ -446,15 +479,13 @@
         lock(&self.confirmations).retain(|_, at| now.duration_since(*at) < CONFIRMATION_TTL);
     }
 
-    fn release(&self, booking: &BookingGuard) {
-        let (request, end) = (&booking.request, booking.end);
-        let endpoint = &booking.registration.id;
-        match booking.coordinator.vm == self.settings.vm {
+    fn release(&self, coordinator: &Member, request: &str, endpoint: &str, end: coordinator::End) {
+        match coordinator.vm == self.settings.vm {
             true => self.release_locally(request, endpoint, end),
             false => {
-                let (request, endpoint) = (request.clone(), endpoint.clone());
+                let (request, endpoint) = (request.into(), endpoint.into());
                 let release = Command::Release { request, endpoint, end };
-                self.budgets.send_one_way(booking.coordinator.addr.clone(), release);
+                self.budgets.send_one_way(coordinator.addr.clone(), release);
             }
         }
     }
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -138,6 +138,11 @@
             Some(request) => request,
             None => return Err(self.on_unreachable(&registration, "failed to build the request")),
         };
+        // The endpoint may have been chosen a while ago, and by another daemon.
+        if !self.accepts_now(&registration) {
+            exchange.cancel();
+            return Err(self.on_withdrawn(&registration));
+        }
         let purpose = self.purpose(resume_after);
         self.context.coordinators.count_sent(&registration.id, purpose);
         self.attempt.on_send();
@@ -171,6 +176,18 @@
         })
     }
 
+    /// Returns whether an endpoint accepts new requests, according to this daemon's view.
+    fn accepts_now(&self, registration: &Registration) -> bool {
+        self.context.view.with_fleet(|fleet| fleet.accepts(registration, Instant::now()))
+    }
+
+    /// Records that an endpoint stopped accepting requests after it was chosen.
+    fn on_withdrawn(&mut self, registration: &Registration) -> Action {
+        metrics::counter!("sends_withdrawn_total").increment(1);
+        self.log_failure(registration, "the endpoint accepts no new requests any more");
+        self.attempt.on_withdrawn(&registration.id)
+    }
+
     /// Returns why the request is about to be sent.
     fn purpose(&self, resume_after: Option<u64>) -> Purpose {
         if resume_after.or(self.request.metadata.resume_after).is_some() {
@@ -207,9 +224,8 @@
     /// If the request's attempts are used up, it is sent to the same endpoint, so that endpoint
     /// must still accept work.
     fn may_retry_late(&self, registration: &Registration) -> bool {
-        let accepts_work =
-            self.context.view.with_fleet(|fleet| fleet.accepts(registration, Instant::now()));
-        accepts_work && self.context.with_retry_budget(retry::Budget::try_withdraw)
+        self.accepts_now(registration)
+            && self.context.with_retry_budget(retry::Budget::try_withdraw)
     }
 
     /// Ends an attempt whose response is late, so that the request can be sent once more.
--- a/crates/sched/src/attempt.rs
+++ b/crates/sched/src/attempt.rs
@@ -125,6 +125,12 @@
         self.exclude(endpoint)
     }
 
+    /// Records that `endpoint` was chosen but accepts no new requests any more, so that the request
+    /// was not sent to it.
+    pub fn on_withdrawn(&mut self, endpoint: &EndpointId) -> Action {
+        self.exclude(endpoint)
+    }
+
     /// Excludes an endpoint that did not run the request in this try.
     fn exclude(&mut self, endpoint: &EndpointId) -> Action {
         if self.progress == Progress::Sent {
--- a/crates/sched/src/coordinator.rs
+++ b/crates/sched/src/coordinator.rs
@@ -121,6 +121,8 @@
 pub struct Booking {
     /// Id of the endpoint.
     pub endpoint: EndpointId,
+    /// Process of the endpoint.
+    pub incarnation: u64,
     /// Permission to send the request.
     pub permit: Permit,
     /// Load of the endpoint before this booking: bookings as a fraction of its slots, or use of its
@@ -316,7 +318,7 @@
             };
         };
         let registration = best.registration;
-        let endpoint = registration.id.clone();
+        let (endpoint, incarnation) = (registration.id.clone(), registration.incarnation);
         let load = self.load(registration, now);
         let Some(permit) = self.rate_limits.take(registration, max_delay, now) else {
             return Outcome::NoEndpoint;
@@ -324,13 +326,13 @@
         *self.counts.entry(endpoint.clone()).or_default() += 1;
         let entry = Entry {
             endpoint: endpoint.clone(),
-            incarnation: registration.incarnation,
+            incarnation,
             prompt: request.prompt.clone(),
             memory: request.memory,
             booked_at: now,
         };
         self.entries.insert(request.id.clone(), entry);
-        Outcome::Booked(Booking { endpoint, permit, load, cost })
+        Outcome::Booked(Booking { endpoint, incarnation, permit, load, cost })
     }
 
     /// Releases the booking of `endpoint` and records how the request ended.
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -27,6 +27,11 @@
 /// Registrations expire while the registry is unavailable and reappear shortly after it is back. An
 /// endpoint that leaves keeps serving for longer than this after its registration is gone.
 const DEREGISTRATION_GRACE: Duration = Duration::from_millis(1_400);
+/// Time for which an endpoint that left is remembered; longer than another daemon's view may be out
+/// of date without that daemon noticing.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(10);
+/// Maximum number of endpoints of a service returned by [`Fleet::withdrawn`].
+const MAX_WITHDRAWN: usize = 32;
 /// Maximum number of endpoints of a service for which all are compared.
 const MAX_FULL_SCAN: usize = 32;
 /// Number of random candidates of a larger service.
@@ -122,6 +127,15 @@
 pub struct Fleet {
     endpoints: IndexMap<EndpointId, Endpoint>,
     services: IndexMap<ServiceId, IndexSet<EndpointId>>,
+    /// Endpoints that were removed because their registrations disappeared.
+    departed: IndexMap<EndpointId, Departure>,
+}
+
+/// An endpoint that left, remembered for a while.
+#[derive(Clone, Debug)]
+struct Departure {
+    service: ServiceId,
+    removed_at: Instant,
 }
 
 impl Fleet {
@@ -137,6 +151,7 @@
             return;
         }
         self.remove(&registration.id);
+        self.departed.shift_remove(&registration.id);
         let service = self.services.entry(registration.service.clone()).or_default();
         service.insert(registration.id.clone());
         let endpoint = Endpoint {
@@ -180,16 +195,20 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in expired {
-            self.remove(&id);
+            if let Some(Registration { service, .. }) = self.remove(&id) {
+                self.departed.insert(id, Departure { service, removed_at: now });
+            }
         }
+        self.departed
+            .retain(|_, departure| now.duration_since(departure.removed_at) < DEPARTURE_RETENTION);
     }
 
-    fn remove(&mut self, id: &str) {
-        if let Some(endpoint) = self.endpoints.swap_remove(id)
-            && let Some(service) = self.services.get_mut(&endpoint.registration.service)
-        {
+    fn remove(&mut self, id: &str) -> Option<Registration> {
+        let endpoint = self.endpoints.swap_remove(id)?;
+        if let Some(service) = self.services.get_mut(&endpoint.registration.service) {
             service.swap_remove(id);
         }
+        Some(endpoint.registration)
     }
 
     /// Returns the registration of an endpoint.
@@ -240,7 +259,21 @@
         self.endpoints.is_empty()
     }
 
+    /// Returns the endpoints of a service that this daemon knows to accept no new requests.
+    ///
+    /// A coordinator whose view is older may still book them.
+    pub fn withdrawn(&self, service: &str, now: Instant) -> Vec<EndpointId> {
+        let known = self.in_service(service).filter(|endpoint| !endpoint.usable(now));
+        let known = known.map(|endpoint| &endpoint.registration.id);
+        let departed = self.departed.iter().rev();
+        let departed = departed.filter(|(_, departure)| departure.service == service);
+        known.chain(departed.map(|(id, _)| id)).take(MAX_WITHDRAWN).cloned().collect()
+    }
+
     /// Returns whether this incarnation of an endpoint accepts new requests.
+    ///
+    /// Every request is checked by this right before it is sent, whichever way its endpoint was
+    /// chosen.
     pub fn accepts(&self, registration: &Registration, now: Instant) -> bool {
         self.endpoints.get(&registration.id).is_some_and(|endpoint| {
             endpoint.usable(now) && endpoint.registration.incarnation == registration.incarnation
--- a/crates/sched/tests/attempt.rs
+++ b/crates/sched/tests/attempt.rs
@@ -139,3 +139,19 @@
     }
     assert_eq!(backoffs, [5, 10, 20, 40, 80, 160, 160, 160]);
 }
+
+#[test]
+fn a_request_that_was_not_sent_goes_elsewhere_and_has_not_run() {
+    let mut attempt = Attempt::new(Kind::Unsafe, 1);
+    assert_eq!(attempt.on_withdrawn(&"a".into()), Action::RetryAny);
+    assert_eq!(attempt.progress(), Progress::NotRun);
+    assert_eq!(attempt.excluded(), ["a"]);
+}
+
+#[test]
+fn a_request_that_may_have_run_stays_in_doubt_when_its_endpoint_leaves() {
+    let mut attempt = Attempt::new(Kind::Unsafe, 1);
+    attempt.on_send();
+    attempt.on_failure(&"a".into(), Failure::Incomplete);
+    assert_eq!(attempt.on_withdrawn(&"a".into()), Action::FailUnknown);
+}
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -95,6 +95,28 @@
         assert!(place(&fleet, &here(), now + Duration::from_secs(2)).is_some());
     }
 
+    endpoints_that_drain_or_left_are_named_to_coordinators(now) {
+        let mut fleet = fleet(&["a", "b", "c"]);
+        fleet.register(Registration { state: State::Draining, ..registration("a", "here", 1) });
+        fleet.deregister("b", now);
+        assert_eq!(fleet.withdrawn("s", now + Duration::from_secs(1)), ["a"]);
+        let later = now + Duration::from_secs(2);
+        assert_eq!(fleet.withdrawn("s", later), ["a", "b"]);
+        fleet.sweep(later);
+        assert_eq!(fleet.withdrawn("s", later), ["a", "b"], "an endpoint that was removed");
+        fleet.register(registration("b", "here", 2));
+        assert_eq!(fleet.withdrawn("s", later), ["a"], "it is back");
+        assert!(fleet.withdrawn("other", later).is_empty());
+    }
+
+    endpoints_that_left_are_forgotten_after_a_while(now) {
+        let mut fleet = fleet(&["a"]);
+        fleet.deregister("a", now);
+        fleet.sweep(now + Duration::from_secs(2));
+        fleet.sweep(now + Duration::from_secs(13));
+        assert!(fleet.withdrawn("s", now + Duration::from_secs(13)).is_empty());
+    }
+
     a_new_incarnation_starts_without_history(now) {
         let mut fleet = fleet(&["a", "b"]);
         let previous = registration("a", "here", 1);
--- a/crates/testing/src/gateway_harness.rs
+++ b/crates/testing/src/gateway_harness.rs
@@ -173,6 +173,21 @@
     ///
     /// Panics if a process cannot be started or the daemons don't converge in time.
     pub async fn start(binary: &str, name: &str, count: usize, endpoints: &[&Endpoint]) -> Self {
+        Self::start_with(binary, name, count, endpoints, |_| {}).await
+    }
+
+    /// Starts daemons like [`Harness::start`] after `adjust` changed the settings of each.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process cannot be started or the daemons don't converge in time.
+    pub async fn start_with(
+        binary: &str,
+        name: &str,
+        count: usize,
+        endpoints: &[&Endpoint],
+        adjust: impl Fn(&mut Settings),
+    ) -> Self {
         let mut harness = Self::without_daemons(name).await;
         for endpoint in endpoints {
             harness.register(endpoint, "ready").await;
@@ -181,7 +196,9 @@
         let peer_addrs: Vec<_> = (0..count).map(|_| net::free_addr()).collect();
         let seeds: Vec<_> = peer_addrs.iter().map(|addr| addr.to_string().into()).collect();
         for (number, peer_addr) in peer_addrs.into_iter().enumerate() {
-            let daemon = harness.launch(binary, harness.settings(number, peer_addr, &seeds));
+            let mut settings = harness.settings(number, peer_addr, &seeds);
+            adjust(&mut settings);
+            let daemon = harness.launch(binary, settings);
             harness.daemons.push(daemon);
         }
         harness.wait_until_converged().await;
