Tell peers the age of a view, and follow two different delegates

Cause: a daemon that is no delegate gets all news from two subscriptions, but both chose their delegate on their own and often the same one. A delegate whose calls get no answer went on saying that it watches until the keep-alive of its connection or the timeout of the call ended, after 3 to 5 s. Its followers took that for news.

Change: sched::freshness holds the one notion of being in touch. A view is confirmed as of the start of an answered call, an update states the age of the sender's view, and a subscriber adopts the age. Above 1.5 s a view is not current: its sender is left, a daemon whose subscriptions do not keep its view current watches the service itself, and a route that is not in such a view is answered with 503 and a Retry-After instead of a 404. The two subscriptions use different delegates, and the delegates follow each other in a ring, so a delegate that is cut off alone gets its news from the next one. A watch call waits 0.7 s instead of 4 s, which bounds the age of a healthy delegate's view.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -20,6 +20,8 @@
     Stopping,
     /// No route matches the request.
     NoRoute,
+    /// No route matches the request, but the configuration may be out of date.
+    RouteUnconfirmed,
     /// The request's framing is ambiguous, or its body could not be read.
     Malformed,
     /// The body exceeds the configured limit.
@@ -53,6 +55,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::NotConfigured
+            | Self::RouteUnconfirmed
             | Self::Stopping
             | Self::NoOwner
             | Self::NoRecord
@@ -71,6 +74,7 @@
             Self::NotConfigured => "not_configured",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
+            Self::RouteUnconfirmed => "route_unconfirmed",
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::BudgetSpent => "budget_spent",
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -16,8 +16,8 @@
 use crate::settings::{Settings, millis};
 use crate::signals::Signals;
 use crate::terms;
-use crate::view::View;
-use crate::view_sync::{FIRST_START_GRACE, SUBSCRIPTIONS, Scope, SyncStatus, Synchronizer};
+use crate::view::{Scope, View};
+use crate::view_sync::{FIRST_START_GRACE, SUBSCRIPTIONS, SyncStatus, Synchronizer};
 use anyhow::{Context, Result};
 use peer::gateway::Member;
 use platform::kv::{Client, Error, LeaseId};
@@ -68,12 +68,11 @@
         let (settings, phase, connections) =
             (settings.clone(), phase.subscribe(), connections.clone());
         let (context, budgets, view) = (context.clone(), budgets.clone(), view.clone());
-        let sync_status = sync_status.clone();
         let runtime = runtime()?;
         let serve = async move {
             let listener = bind_client_addr(&settings).await?;
             let peers = TcpListener::bind(settings.peer_addr).await?;
-            tokio::spawn(serve_peers(peers, context.clone(), budgets, view, sync_status));
+            tokio::spawn(serve_peers(peers, context.clone(), budgets, view));
             tokio::spawn(context.coordinators.clone().run_reports());
             ingress::serve(listener, context, phase, connections).await;
             anyhow::Ok(())
@@ -145,12 +144,11 @@
     context: Arc<ForwardContext>,
     budgets: Arc<Budgets>,
     view: Arc<View>,
-    sync_status: Arc<SyncStatus>,
 ) {
     let key: Arc<[u8]> = context.settings.cluster_key.as_bytes().into();
     let (coordinators, origins) = (context.coordinators.clone(), context.origins.clone());
     let handle = move |request, sender| {
-        peers::handle(request, sender, &budgets, &view, &sync_status, &coordinators, &origins)
+        peers::handle(request, sender, &budgets, &view, &coordinators, &origins)
     };
     if let Err(error) = peer::server::serve(listener, key, handle).await {
         log::error!("stopped serving peers: {error}");
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -167,7 +167,15 @@
     let host = request.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or(request.uri.host()).unwrap_or_default();
     let Some(route) = table.find(host, request.uri.path()) else {
-        return answer::unrouted(Reason::NoRoute, &id, None);
+        // A 404 ends a program, so it must not come from an old configuration.
+        return match context.view.is_current(Instant::now()) {
+            true => answer::unrouted(Reason::NoRoute, &id, None),
+            false => answer::unrouted(
+                Reason::RouteUnconfirmed,
+                &id,
+                context.retry_after(RETRY_AFTER_NO_ENDPOINT),
+            ),
+        };
     };
     let Some(service) = route.select_service(request.metadata.affinity_key()) else {
         return answer::unrouted(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,6 @@
 use crate::draws::Draw;
 use crate::origins::Origins;
 use crate::view::{Cursor, Update, View};
-use crate::view_sync::SyncStatus;
 use peer::gateway::{Command, Response};
 use peer::server::ReplySender;
 use peer::wire::{Reply, Request};
@@ -24,7 +23,6 @@
     sender: ReplySender,
     budgets: &Arc<Budgets>,
     view: &Arc<View>,
-    sync_status: &Arc<SyncStatus>,
     coordinators: &Arc<Coordinators>,
     origins: &Arc<Origins>,
 ) {
@@ -87,7 +85,7 @@
         }
         Command::Subscribe { version, revision } => {
             let cursor = Cursor::new(version, revision);
-            tokio::spawn(send_updates(cursor, sender, view.clone(), sync_status.clone()));
+            tokio::spawn(send_updates(cursor, sender, view.clone()));
         }
     }
 }
@@ -98,19 +96,15 @@
     let _ = sender.send(Reply::Gateway(response)).await;
 }
 
-async fn send_updates(
-    mut cursor: Cursor,
-    sender: ReplySender,
-    view: Arc<View>,
-    sync_status: Arc<SyncStatus>,
-) {
+async fn send_updates(mut cursor: Cursor, sender: ReplySender, view: Arc<View>) {
     let mut changes = view.subscribe();
     loop {
         changes.mark_unchanged();
-        let watching = sync_status.watching();
+        // What is read after the age is at least as new.
+        let age = view.age(Instant::now());
         let response = match view.next_update(&mut cursor) {
-            Update::View(view) => Response::View { view: Box::new(view), watching },
-            Update::Changes(changes) => Response::Changes { changes: Box::new(changes), watching },
+            Update::View(view) => Response::View { view: Box::new(view), age },
+            Update::Changes(changes) => Response::Changes { changes: Box::new(changes), age },
         };
         if sender.send(Reply::Gateway(response)).await.is_err() {
             return;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,6 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 use peer::gateway::{Change, Changes, Member, View as Exported};
 use sched::fleet::{Fleet, Registration};
+use sched::freshness::Freshness;
 use sched::id::{EndpointId, VmId};
 use sched::members::weight;
 use sched::route::Table;
@@ -38,9 +39,33 @@
     departed: IndexMap<VmId, (Member, Instant)>,
 }
 
+/// Part of the view that one watch of the key-value service keeps up to date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The configuration that operators set.
+    Configuration,
+    /// The endpoint registrations, the members and the allocation terms.
+    Directory,
+}
+
+/// What confirms that the view is current.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sources {
+    configuration_watch: Freshness,
+    directory_watch: Freshness,
+    peers: Freshness,
+}
+
+impl Sources {
+    fn freshness(&self) -> Freshness {
+        self.configuration_watch.and(self.directory_watch).or(self.peers)
+    }
+}
+
 /// Copy of the cluster state that all tasks of the daemon share.
 pub struct View {
     state: Mutex<State>,
+    sources: Mutex<Sources>,
     changed: watch::Sender<u64>,
 }
 
@@ -101,7 +126,7 @@
 
 impl Default for View {
     fn default() -> Self {
-        Self { state: Mutex::default(), changed: watch::Sender::new(0) }
+        Self { state: Mutex::default(), sources: Mutex::default(), changed: watch::Sender::new(0) }
     }
 }
 
@@ -110,6 +135,48 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn sources(&self) -> MutexGuard<'_, Sources> {
+        self.sources.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Confirms that `scope` includes all changes that the key-value service had acknowledged at
+    /// `at`.
+    pub fn confirm(&self, scope: Scope, at: Instant) {
+        let mut sources = self.sources();
+        match scope {
+            Scope::Configuration => sources.configuration_watch.confirm(at),
+            Scope::Directory => sources.directory_watch.confirm(at),
+        }
+    }
+
+    /// Confirms the view with an update of a peer whose own view had this age when it sent it.
+    pub fn confirm_by_peer(&self, age: Duration, now: Instant) {
+        if let Some(at) = now.checked_sub(age) {
+            self.sources().peers.confirm(at);
+        }
+    }
+
+    /// Returns the age of the view, or `None` if it was never confirmed.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.sources().freshness().age(now)
+    }
+
+    /// Returns whether the view is current.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.sources().freshness().is_current(now)
+    }
+
+    /// Returns whether this daemon's own watches keep the view current.
+    pub fn is_current_by_watch(&self, now: Instant) -> bool {
+        let Sources { configuration_watch, directory_watch, .. } = *self.sources();
+        configuration_watch.and(directory_watch).is_current(now)
+    }
+
+    /// Returns whether peers alone keep the view current.
+    pub fn is_current_by_peers(&self, now: Instant) -> bool {
+        self.sources().peers.is_current(now)
+    }
+
     /// Calls `decide` with the endpoints while the view is locked.
     pub fn with_fleet<R>(&self, decide: impl FnOnce(&mut Fleet) -> R) -> R {
         decide(&mut self.lock().fleet)
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -1,17 +1,20 @@
 //! Keeps the view up to date.
 //!
 //! A few members, the delegates, watch the key-value service. Every other daemon subscribes to two
-//! delegates, so the load on the service grows more slowly than the fleet. The delegates are the
-//! members with the highest rendezvous hashes or, before any members are known, the seeds in the
-//! settings. A daemon that has not received an update from a watching delegate for a while watches
-//! the service itself: a delegate may hang or be partitioned, and the service may reject some
+//! different delegates, so the load on the service grows more slowly than the fleet, and each
+//! delegate subscribes to another one. The delegates are the members with the highest rendezvous
+//! hashes or, before any members are known, the seeds in the settings.
+//!
+//! Each update states the age of the sender's view (see [`sched::freshness`]). A subscriber leaves a
+//! delegate whose view is not current, and a daemon whose subscriptions do not keep its view current
+//! watches the service itself: a delegate may hang or be partitioned, and the service may reject some
 //! daemons while it serves others.
 //!
 //! A watch starts from a listing; a failed watch starts again from a new listing.
 
 use crate::budgets::Budgets;
 use crate::settings::{Settings, millis};
-use crate::view::View;
+use crate::view::{Scope, View};
 use crate::{members, retire};
 use compact_str::CompactString;
 use indexmap::IndexMap;
@@ -20,6 +23,7 @@
 use platform::kv::{Client, Entry, Error, Event, Listing};
 use platform::{config, registry};
 use sched::fleet::Registration;
+use sched::freshness::{self, Role};
 use sched::id::VmId;
 use sched::term::TermView;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -29,6 +33,9 @@
 
 /// Prefix that covers both registrations and members, whose keys have the same first letter.
 const DIRECTORY_PREFIX: &str = "s";
+/// Time for which a watch call waits for changes. A view that is confirmed by a watch without changes
+/// is at most this old, which must be well below [`freshness::MAX_AGE`].
+const WATCH_WAIT: Duration = Duration::from_millis(700);
 /// Minimum pause before a failed watch is retried.
 const MIN_RETRY: Duration = Duration::from_millis(150);
 /// Maximum pause before a delegate retries a failed watch.
@@ -63,6 +70,9 @@
 /// Number of delegates that each daemon subscribes to.
 pub const SUBSCRIPTIONS: usize = 2;
 
+/// Delegates that the subscriptions use, by slot.
+type Targets = [Option<CompactString>; SUBSCRIPTIONS];
+
 /// State of this daemon's watches and subscriptions.
 pub struct SyncStatus {
     /// Time until which this daemon waits for delegates before it watches the service itself.
@@ -73,8 +83,7 @@
     watching: [AtomicBool; 2],
     /// Whether the service answered the last listing of the configuration.
     configuration_listed: AtomicBool,
-    /// Time of the last update from a watching delegate, for each subscription.
-    last_updates: Mutex<[Option<Instant>; SUBSCRIPTIONS]>,
+    targets: Mutex<Targets>,
 }
 
 impl SyncStatus {
@@ -85,17 +94,12 @@
             last_peer_update: Mutex::default(),
             watching: Default::default(),
             configuration_listed: AtomicBool::default(),
-            last_updates: Mutex::default(),
+            targets: Mutex::default(),
         }
     }
 
-    /// Returns whether this daemon itself watches the key-value service and gets answers.
-    pub fn watching(&self) -> bool {
-        self.watching.iter().all(|watching| watching.load(Ordering::Relaxed))
-    }
-
-    fn last_updates(&self) -> MutexGuard<'_, [Option<Instant>; SUBSCRIPTIONS]> {
-        self.last_updates.lock().unwrap_or_else(PoisonError::into_inner)
+    fn targets(&self) -> MutexGuard<'_, Targets> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn record_peer_update(&self, now: Instant) {
@@ -110,16 +114,6 @@
         last_update.is_some_and(|at| now.duration_since(at) < PEER_TIMEOUT)
     }
 
-    /// Returns whether a watching delegate sent an update recently; assumes so during the initial
-    /// grace period.
-    fn has_delegate(&self, now: Instant) -> bool {
-        if now < self.grace_until {
-            return true;
-        }
-        let last_updates = *self.last_updates();
-        last_updates.iter().flatten().any(|at| now.duration_since(*at) < SUBSCRIPTION_TIMEOUT)
-    }
-
     /// Waits until the configuration has been listed, at most [`MAX_RETRY_OTHER`]; returns at once
     /// if `scope` is the configuration.
     ///
@@ -144,26 +138,16 @@
     fn set_watching(&self, scope: Scope, watching: bool, why: &str) {
         let before = self.watching[scope as usize].swap(watching, Ordering::Relaxed);
         if before != watching {
-            log::info!(target: "platform", watch = scope.prefix(), watching; "{why}");
+            log::info!(target: "platform", watch = prefix(scope), watching; "{why}");
         }
     }
 }
 
-/// Part of the view that one watch keeps up to date.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
-    /// The configuration that operators set.
-    Configuration,
-    /// The endpoint registrations, the members and the allocation terms.
-    Directory,
-}
-
-impl Scope {
-    fn prefix(self) -> &'static str {
-        match self {
-            Self::Configuration => config::PREFIX,
-            Self::Directory => DIRECTORY_PREFIX,
-        }
+/// Returns the prefix of the keys of a scope.
+fn prefix(scope: Scope) -> &'static str {
+    match scope {
+        Scope::Configuration => config::PREFIX,
+        Scope::Directory => DIRECTORY_PREFIX,
     }
 }
 
@@ -230,9 +214,12 @@
         consistency: Consistency,
         pause: &mut Duration,
     ) -> Result<(), Error> {
-        let listing = match consistency {
-            Consistency::Stale if !self.is_delegate() => self.list_stale(scope).await?,
-            Consistency::Stale | Consistency::Current => self.kv.list(scope.prefix(), "").await?,
+        let called = Instant::now();
+        let (listing, is_current) = match consistency {
+            Consistency::Stale if !self.is_delegate() => (self.list_stale(scope).await?, false),
+            Consistency::Stale | Consistency::Current => {
+                (self.kv.list(prefix(scope), "").await?, true)
+            }
         };
         match scope {
             Scope::Configuration => {
@@ -240,6 +227,9 @@
             }
             Scope::Directory => self.replace(&listing.entries, listing.revision),
         }
+        if is_current {
+            self.view.confirm(scope, called);
+        }
         self.sync_status.set_listed(scope, true);
         *pause = self.initial_pause();
         if !self.is_delegate() && self.wait_for_delegate().await {
@@ -249,9 +239,12 @@
         let mut after = listing.revision;
         while self.must_watch(Instant::now()) {
             let called = Instant::now();
-            let (events, revision) = self.kv.changes(scope.prefix(), after).await?;
+            let (events, revision) = self.kv.changes(prefix(scope), after, WATCH_WAIT).await?;
             after = revision;
+            // Without changes, the service answers only after the wait.
+            let waited = events.is_empty() && called.elapsed() >= WATCH_WAIT;
             self.apply(scope, events, revision);
+            self.view.confirm(scope, if waited { called + WATCH_WAIT } else { called });
             if scope == Scope::Directory {
                 sleep_until((called + MIN_WATCH_INTERVAL).into()).await;
             }
@@ -270,7 +263,7 @@
     async fn wait_for_delegate(&self) -> bool {
         let until = Instant::now() + DELEGATE_GRACE;
         while Instant::now() < until {
-            if self.sync_status.has_delegate(Instant::now()) {
+            if self.has_delegate(Instant::now()) {
                 return true;
             }
             sleep(POLL_INTERVAL).await;
@@ -283,15 +276,20 @@
     /// The first call of the watch returns the changes that the listing misses. If the listing is
     /// older than the view, it is discarded and a current one is made.
     async fn list_stale(&self, scope: Scope) -> Result<Listing, Error> {
-        let listing = self.kv.list_stale(scope.prefix()).await?;
+        let listing = self.kv.list_stale(prefix(scope)).await?;
         match listing.revision < self.view.revision() {
-            true => self.kv.list(scope.prefix(), "").await,
+            true => self.kv.list(prefix(scope), "").await,
             false => Ok(listing),
         }
     }
 
     fn must_watch(&self, now: Instant) -> bool {
-        self.is_delegate() || !self.sync_status.has_delegate(now)
+        self.is_delegate() || !self.has_delegate(now)
+    }
+
+    /// Returns whether delegates keep the view current; assumes so during the initial grace period.
+    fn has_delegate(&self, now: Instant) -> bool {
+        now < self.sync_status.grace_until || self.view.is_current_by_peers(now)
     }
 
     fn is_delegate(&self) -> bool {
@@ -393,30 +391,41 @@
     ///
     /// `slot` is the index of the subscription, less than [`SUBSCRIPTIONS`].
     pub async fn run_subscription(self, slot: usize) {
-        let mut next = slot;
+        let mut failures = 0;
         loop {
-            let own = self.settings.public_addr();
-            let mut delegates = self.delegates();
-            if self.sync_status.watching() && delegates.contains(&own) {
+            let Some(delegate) = self.choose_delegate(slot, failures, Instant::now()) else {
                 sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
-            }
-            delegates.retain(|addr| *addr != own);
-            if !delegates.is_empty() {
-                // Daemons start at different delegates, which spreads the subscribers evenly.
-                let shift = sched::members::weight(&slot, &own) as usize;
-                let chosen = (shift % delegates.len() + next) % delegates.len();
-                self.subscribe(&delegates[chosen], slot).await;
-                next += 1;
-            }
+            };
+            self.subscribe(&delegate).await;
+            self.sync_status.targets()[slot] = None;
+            failures += 1;
             sleep(RESUBSCRIBE_DELAY).await;
         }
     }
 
-    /// Receives updates from a peer until it stops sending, or reports that it is not watching.
+    /// Returns the delegate that a subscription uses next, or `None` if it needs none.
+    fn choose_delegate(&self, slot: usize, failures: usize, now: Instant) -> Option<CompactString> {
+        let own = self.settings.public_addr();
+        let delegates = self.delegates();
+        let index = |addr: &CompactString| delegates.iter().position(|found| found == addr);
+        let role = match index(&own) {
+            // A delegate that hears the service follows one other delegate.
+            Some(_) if slot > 0 && self.view.is_current_by_watch(now) => return None,
+            Some(index) => Role::Delegate(index),
+            None => Role::Follower(sched::members::weight(&"follower", &own)),
+        };
+        let mut targets = self.sync_status.targets();
+        let taken = targets.iter().flatten().find_map(index);
+        let chosen = freshness::choose_delegate(delegates.len(), role, slot, failures, taken)?;
+        targets[slot] = Some(delegates[chosen].clone());
+        targets[slot].clone()
+    }
+
+    /// Receives updates from a peer until it stops sending, or its view is not current.
     ///
-    /// Another delegate may be watching in the latter case.
-    async fn subscribe(&self, addr: &str, slot: usize) {
+    /// Another delegate may be in touch in the latter case.
+    async fn subscribe(&self, addr: &str) {
         let version = self.view.table().map(|table| table.version);
         let revision = self.view.revision();
         let request = Request::Gateway(Box::new(Command::Subscribe { version, revision }));
@@ -436,14 +445,14 @@
             };
             let now = Instant::now();
             self.sync_status.record_peer_update(now);
-            let watching = match response {
-                Response::View { view, watching } => {
+            let age = match response {
+                Response::View { view, age } => {
                     self.view.merge(*view, now);
-                    watching
+                    age
                 }
-                Response::Changes { changes, watching } => {
+                Response::Changes { changes, age } => {
                     self.view.merge_changes(*changes, now);
-                    watching
+                    age
                 }
                 Response::Pending
                 | Response::Reserved(_)
@@ -453,10 +462,10 @@
                 | Response::Origin(_)
                 | Response::Noted => return,
             };
-            if !watching {
-                return;
+            match age.filter(|age| freshness::is_current(Some(*age))) {
+                Some(age) => self.view.confirm_by_peer(age, now),
+                None => return,
             }
-            self.sync_status.last_updates()[slot] = Some(now);
         }
     }
 }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -9,6 +9,7 @@
 use sched::spend;
 use sched::term::{Incarnation, TermView, Terms};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// A live gateway daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -189,15 +190,15 @@
     View {
         /// The view.
         view: Box<View>,
-        /// Whether the sender itself watches the key-value service.
-        watching: bool,
+        /// Age of the sender's view, see [`sched::freshness`].
+        age: Option<Duration>,
     },
     /// Changes since the previous frame; also sent at intervals while nothing changes, so that the
     /// subscriber notices when the sender fails.
     Changes {
         /// The changes.
         changes: Box<Changes>,
-        /// Whether the sender itself watches the key-value service.
-        watching: bool,
+        /// Age of the sender's view, see [`sched::freshness`].
+        age: Option<Duration>,
     },
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -10,7 +10,8 @@
 //!   endpoint;
 //! * [`route`], [`request`], [`attempt`], [`fleet`], [`prefix`], [`coordinator`], [`admission`],
 //!   [`limit`], [`origin`], [`retry`], [`spend`] and [`term`] handle requests that are routed by host and path;
-//! * [`members`] assigns logs and endpoints to live daemons.
+//! * [`members`] assigns logs and endpoints to live daemons;
+//! * [`freshness`] tells how current a daemon's view is.
 
 pub mod admission;
 pub mod attempt;
@@ -18,6 +19,7 @@
 pub mod config;
 pub mod coordinator;
 pub mod fleet;
+pub mod freshness;
 pub mod grant;
 pub mod health;
 pub mod id;
