Remember the programs whose accounts were dropped

Cause: a ledger drops an account that was idle for the retention. If the program went on at another owner meanwhile, for example because the allocator stood still, the allocator took it for a new program on its return and granted its share again, without a look at the record, which says that it is stopped. The same holds for a program that was transferred to another owner, after 120 s; the use of its share was then also missing when the allocator closed its ledger. A daemon's count of the tokens that it had handed out to a program began at 0 again after 120 s without use, and owners, which keep the highest total of each process, did not count what followed.

Change: a ledger remembers for the lifetime of a program (1 h) which accounts it has dropped or transferred, and draws for these programs; the record decides. Two generations bound the memory, and beyond 100,000 programs in one of them all unknown programs draw. The use of a transferred share is kept for the same time, and closing a ledger records each program once. Counts moved to sched::spend; one that starts anew is reported under another name.

--- a/crates/gateway/src/budgets.rs
+++ b/crates/gateway/src/budgets.rs
@@ -6,25 +6,22 @@
 use crate::settings::{Settings, millis};
 use crate::view::View;
 use compact_str::{CompactString, format_compact};
-use indexmap::IndexMap;
 use peer::client::Client as Peers;
 use peer::gateway::{Command, Member, Response, Settlement};
 use peer::wire::{self, Request};
 use platform::kv;
 use sched::admission::Stage;
 use sched::id::{ProgramId, RequestId, Tokens, VmId};
-use sched::spend::{self, Decision, Ledger};
+use sched::spend::{self, Counts, Decision, Ledger};
 use sched::term::Incarnation;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::time::timeout;
 
 /// Maximum number of owners asked for one turn before it is refused.
 const MAX_OWNERS: usize = 3;
 /// Number of lock stripes; limits how many programs draw, or are taken over, at the same time.
 const STRIPES: usize = 32;
-/// Idle time after which a program's counter is dropped.
-const COUNTER_TTL: Duration = Duration::from_secs(120);
 
 /// Reason why a turn was not reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -48,12 +45,6 @@
     NoResponse,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Counter {
-    handed_out: Tokens,
-    last_used: Instant,
-}
-
 /// State for reserving and deciding on programs' budgets.
 pub struct Budgets {
     pub(crate) settings: Arc<Settings>,
@@ -68,10 +59,10 @@
     pub(crate) peers: Peers,
     pub(crate) suspects: Suspects,
     pub(crate) ledger: Mutex<Ledger>,
-    counters: Mutex<IndexMap<ProgramId, Counter>>,
+    counts: Mutex<Counts>,
     /// Random number that identifies this process.
     pub(crate) incarnation: Incarnation,
-    /// Name of this process, under which owners count the tokens that it hands out.
+    /// Name of this process.
     process: VmId,
 }
 
@@ -93,7 +84,7 @@
             peers,
             suspects: Suspects::default(),
             ledger: Mutex::default(),
-            counters: Mutex::default(),
+            counts: Mutex::new(Counts::new(process.clone())),
             incarnation,
             process,
         }
@@ -113,21 +104,13 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn counters(&self) -> MutexGuard<'_, IndexMap<ProgramId, Counter>> {
-        self.counters.lock().unwrap_or_else(PoisonError::into_inner)
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Adds to the tokens that this daemon has handed out to a program.
     pub fn add_handed_out(&self, program: &str, tokens: Tokens, now: Instant) {
-        let mut counters = self.counters();
-        let new = Counter { handed_out: 0, last_used: now };
-        let counter = counters.entry(program.into()).or_insert(new);
-        counter.handed_out += tokens;
-        counter.last_used = now;
-    }
-
-    fn handed_out(&self, program: &str) -> Tokens {
-        self.counters().get(program).map_or(0, |counter| counter.handed_out)
+        self.counts().add(program, tokens, now);
     }
 
     /// Reserves a turn at the owner of its program's budget.
@@ -139,8 +122,8 @@
         self: &Arc<Self>,
         request: spend::ReservationRequest,
     ) -> Result<Reservation, Error> {
-        let request =
-            spend::ReservationRequest { handed_out: self.handed_out(&request.program), ..request };
+        let (daemon, handed_out) = self.counts().report(&request.program, Instant::now());
+        let request = spend::ReservationRequest { daemon, handed_out, ..request };
         for _ in 0..MAX_OWNERS {
             let now = Instant::now();
             let reply = match self.owner(&request.program, now) {
@@ -221,12 +204,11 @@
     /// Drops expired accounts and idle counters.
     pub fn sweep(&self, now: Instant) {
         self.ledger().sweep(now);
-        self.counters().retain(|_, counter| now.duration_since(counter.last_used) < COUNTER_TTL);
+        self.counts().sweep(now);
     }
 
     fn send_settlement(self: &Arc<Self>, program: ProgramId, request: RequestId) {
-        let handed_out = self.handed_out(&program);
-        let daemon = self.process.clone();
+        let (daemon, handed_out) = self.counts().report(&program, Instant::now());
         let settlement = Settlement { program, request, daemon, handed_out };
         let Some(owner) = self.owner(&settlement.program, Instant::now()) else {
             return;
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -23,18 +23,28 @@
 //! daemon handed out before its first request to this owner was granted by another owner, and is
 //! covered by an allocator's share or by the draws of that owner.
 //!
+//! An allocator must never take a program that it has forgotten for a new one: it remembers for the
+//! lifetime of a program which accounts it has dropped or transferred, and draws for these programs.
+//! The record then says how much is left, or that the program is stopped.
+//!
 //! An owner that does not know a program asks the previous owner, or the one that replaced it in
 //! the meantime, and takes over its account.
 
 use crate::admission::Stage;
 use crate::id::{ProgramId, RequestId, Tokens, VmId};
-use crate::term::{self, Incarnation, InitialAllowance, TermView, UnusedShare};
-use indexmap::IndexMap;
+use crate::term::{
+    self, Incarnation, InitialAllowance, MAX_PROGRAM_LIFETIME, TermView, UnusedShare,
+};
+use compact_str::format_compact;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
-/// Minimum time for which a transferred program is remembered.
-const MIN_TRANSFER_RETENTION: Duration = Duration::from_secs(120);
+/// Maximum number of forgotten programs in one generation, see [`Forgotten`]. Beyond it, all unknown
+/// programs draw.
+const MAX_FORGOTTEN: usize = 100_000;
+/// Idle time after which a daemon drops the count of a program; longer than any turn.
+const COUNT_TTL: Duration = Duration::from_secs(120);
 /// Fraction of a record's remaining tokens that one draw takes, unless the turn needs more.
 ///
 /// The rest is left for an owner that takes over and cannot tell which drawn tokens were not spent.
@@ -385,6 +395,41 @@
     usage: Option<ShareUsage>,
 }
 
+/// Programs whose accounts were dropped.
+///
+/// Two generations, each of them one program lifetime long, bound the memory and drop old programs
+/// at a constant cost.
+#[derive(Clone, Debug, Default)]
+struct Forgotten {
+    current: IndexSet<ProgramId>,
+    previous: IndexSet<ProgramId>,
+    /// Time at which the current generation began.
+    began_at: Option<Instant>,
+}
+
+impl Forgotten {
+    fn insert(&mut self, program: ProgramId) {
+        if self.current.len() < MAX_FORGOTTEN {
+            self.current.insert(program);
+        }
+    }
+
+    /// Returns whether the program may have had an account.
+    fn may_contain(&self, program: &str) -> bool {
+        let is_full = |generation: &IndexSet<ProgramId>| generation.len() >= MAX_FORGOTTEN;
+        let generations = [&self.current, &self.previous];
+        generations.into_iter().any(|found| is_full(found) || found.contains(program))
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        let began_at = *self.began_at.get_or_insert(now);
+        if now.saturating_duration_since(began_at) >= MAX_PROGRAM_LIFETIME {
+            self.previous = std::mem::take(&mut self.current);
+            self.began_at = Some(now);
+        }
+    }
+}
+
 /// Accounts of the programs that this daemon owns.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -392,6 +437,8 @@
     /// Programs that were transferred to another owner. They may be transferred back, but do
     /// not count as new.
     transferred: IndexMap<ProgramId, Transferred>,
+    /// Programs that had an account and do not count as new either.
+    forgotten: Forgotten,
     /// Number of the last draw that was started.
     last_draw_number: u32,
     /// Whether this process has closed its ledger.
@@ -404,7 +451,10 @@
     /// Returns how much of the allocator's shares the programs have spent.
     pub fn close(&mut self) -> Vec<(ProgramId, ShareUsage)> {
         self.closed = true;
-        let mut usages = Vec::new();
+        let transferred = self.transferred.iter_mut();
+        let mut usages: IndexMap<ProgramId, ShareUsage> = transferred
+            .filter_map(|(program, transferred)| Some((program.clone(), transferred.usage.take()?)))
+            .collect();
         for (program, account) in
             self.accounts.iter_mut().filter(|(_, account)| account.state.share_tokens > 0)
         {
@@ -414,14 +464,9 @@
             state.allowed = state.allowed.min(committed);
             state.unrecorded = state.unrecorded.saturating_sub(state.share_tokens) + usage.spent;
             state.share_tokens = 0;
-            usages.push((program.clone(), usage));
-        }
-        for (program, transferred) in &mut self.transferred {
-            if let Some(usage) = transferred.usage.take() {
-                usages.push((program.clone(), usage));
-            }
+            usages.insert(program.clone(), usage);
         }
-        usages
+        usages.into_iter().collect()
     }
 
     /// Decides whether a turn may run. `allowance` opens the account of an unknown program.
@@ -483,7 +528,10 @@
 
     /// Returns whether this process may use the allocator's share for a program without an account.
     pub fn may_use_share(&self, program: &str, allowance: InitialAllowance) -> bool {
-        allowance.share_tokens > 0 && !self.closed && !self.transferred.contains_key(program)
+        allowance.share_tokens > 0
+            && !self.closed
+            && !self.transferred.contains_key(program)
+            && !self.forgotten.may_contain(program)
     }
 
     /// Returns whether the ledger has an account of the program.
@@ -502,7 +550,7 @@
                 .get(program)
                 .is_some_and(|transferred| transferred.usage.is_some());
             if is_allocator && !self.closed && !transferred {
-                let transferred = Transferred { until: now + MIN_TRANSFER_RETENTION, usage: None };
+                let transferred = Transferred { until: now + MAX_PROGRAM_LIFETIME, usage: None };
                 self.transferred.entry(program.into()).or_insert(transferred);
                 return Transfer::ShareReleased;
             }
@@ -510,7 +558,7 @@
         };
         let share_tokens = account.state.share_tokens;
         let usage = (share_tokens > 0).then(|| account.state.share_usage(share_tokens));
-        let until = now + account.state.retention.max(MIN_TRANSFER_RETENTION);
+        let until = now + MAX_PROGRAM_LIFETIME;
         let earlier_usage =
             self.transferred.swap_remove(program).and_then(|transferred| transferred.usage);
         self.transferred
@@ -594,10 +642,85 @@
         }
     }
 
-    /// Removes programs that have been idle for longer than their retention.
+    /// Removes programs that have been idle for longer than their retention, and remembers that
+    /// they had an account.
+    pub fn sweep(&mut self, now: Instant) {
+        let Self { accounts, transferred, forgotten, .. } = self;
+        forgotten.sweep(now);
+        accounts.retain(|program, account| {
+            let idle = now.saturating_duration_since(account.last_used);
+            let kept = idle <= account.state.retention;
+            if !kept {
+                forgotten.insert(program.clone());
+            }
+            kept
+        });
+        transferred.retain(|program, transferred| {
+            let kept = now < transferred.until;
+            if !kept {
+                forgotten.insert(program.clone());
+            }
+            kept
+        });
+    }
+}
+
+/// Tokens that one daemon process has handed out, by program.
+///
+/// Counts of idle programs are dropped. Owners keep the highest total that a process has reported,
+/// so a count that starts anew is reported under another name. The owners then add both.
+#[derive(Clone, Debug)]
+pub struct Counts {
+    process: VmId,
+    counts: IndexMap<ProgramId, Count>,
+    /// Number of times that counts were dropped.
+    generation: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Count {
+    /// Name under which the count is reported.
+    name: VmId,
+    handed_out: Tokens,
+    last_used: Instant,
+}
+
+impl Counts {
+    /// Creates empty counts of the process with this name.
+    pub fn new(process: VmId) -> Self {
+        Self { process, counts: IndexMap::new(), generation: 0 }
+    }
+
+    fn count(&mut self, program: &str, now: Instant) -> &mut Count {
+        let Self { process, counts, generation } = self;
+        let count = counts.entry(program.into()).or_insert_with(|| {
+            let name = match generation {
+                0 => process.clone(),
+                generation => format_compact!("{process}.{generation}"),
+            };
+            Count { name, handed_out: 0, last_used: now }
+        });
+        count.last_used = now;
+        count
+    }
+
+    /// Adds tokens that were handed out to a program.
+    pub fn add(&mut self, program: &str, tokens: Tokens, now: Instant) {
+        self.count(program, now).handed_out += tokens;
+    }
+
+    /// Returns the name of a program's count and its total, as they are reported to an owner.
+    pub fn report(&mut self, program: &str, now: Instant) -> (VmId, Tokens) {
+        let count = self.count(program, now);
+        (count.name.clone(), count.handed_out)
+    }
+
+    /// Drops the counts of idle programs.
     pub fn sweep(&mut self, now: Instant) {
-        self.accounts
-            .retain(|_, account| now.duration_since(account.last_used) <= account.state.retention);
-        self.transferred.retain(|_, transferred| now < transferred.until);
+        let before = self.counts.len();
+        self.counts.retain(|_, count| now.saturating_duration_since(count.last_used) < COUNT_TTL);
+        if self.counts.len() < before {
+            self.generation += 1;
+        }
     }
 }
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -57,7 +57,7 @@
 /// does during a rolling restart.
 const MAX_STABILITY_WAIT: Duration = Duration::from_secs(3);
 /// Maximum time between a program's first and last turn.
-const MAX_PROGRAM_LIFETIME: Duration = Duration::from_secs(3_600);
+pub const MAX_PROGRAM_LIFETIME: Duration = Duration::from_secs(3_600);
 
 /// Process that may hand out shares of a term.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/sched/tests/spend.rs
+++ b/crates/sched/tests/spend.rs
@@ -1,12 +1,18 @@
 //! Budgets of programs across several owners and daemons.
 
 use sched::id::VmId;
-use sched::spend::{self, Draw, Ledger, Record, ReservationRequest, ReserveOutcome, Transfer};
+use sched::spend::{
+    self, Counts, Draw, Ledger, Record, ReservationRequest, ReserveOutcome, Transfer,
+};
 use sched::term::{Allocator, InitialAllowance, TermView, UnusedShare};
 use std::time::{Duration, Instant};
 
 const BUDGET: u64 = 1_000;
 const MAX_TOKENS: u64 = 100;
+/// Time for which a program stays stopped.
+const RETENTION: Duration = Duration::from_secs(60);
+/// Maximum time between a program's first and last turn.
+const PROGRAM_LIFETIME: Duration = Duration::from_secs(3_600);
 
 fn reservation(request_id: &str, daemon: &str, handed_out: u64) -> ReservationRequest {
     ReservationRequest {
@@ -16,7 +22,7 @@
         max_tokens: MAX_TOKENS,
         daemon: daemon.into(),
         handed_out,
-        retention: Duration::from_secs(60),
+        retention: RETENTION,
     }
 }
 
@@ -170,6 +176,107 @@
         assert!(!run_as_allocator(&mut ledger, &mut record, &reservation("late", "b", 0)));
     }
 
+    // Guards against an allocator that grants its share again to a program that it has forgotten
+    // (BUDGET, review case 1).
+    an_allocator_grants_its_share_again_to_a_program_that_was_stopped_elsewhere {
+        let (mut allocator, mut record) = (Ledger::default(), None);
+        let turn = reservation("r-1", "a", 0);
+        assert!(run_as_allocator(&mut allocator, &mut record, &turn));
+        allocator.settle("p", "r-1", "a", MAX_TOKENS);
+        // The allocator stands still while the program goes on elsewhere until it is stopped.
+        let elsewhere = spend_all_as_other(&mut record, "a", 100);
+        allocator.sweep(Instant::now() + RETENTION + Duration::from_millis(1));
+        let again = spend_all(&mut allocator, &mut record, "b", 100);
+        assert_eq!(again, 0, "after {elsewhere} tokens elsewhere");
+    }
+
+    // Guards against the same after the program was transferred away and stopped there.
+    an_allocator_grants_its_share_again_to_a_program_that_it_transferred {
+        let (mut allocator, mut record) = (Ledger::default(), None);
+        assert!(run_as_allocator(&mut allocator, &mut record, &reservation("r-1", "a", 0)));
+        assert!(matches!(
+            allocator.transfer("p", true, Instant::now()),
+            Transfer::Account(_)
+        ));
+        let turn = reservation("r-2", "a", MAX_TOKENS);
+        record = Some(spend::record_after_stop(&turn, record.as_ref(), &first_term(), 0));
+        allocator.sweep(Instant::now() + RETENTION * 10);
+        assert_eq!(spend_all(&mut allocator, &mut record, "b", 100), 0);
+    }
+
+    // Guards against a share whose use is forgotten before its allocator closes its ledger.
+    an_allocator_that_closes_late_forgets_a_share_that_it_transferred {
+        let mut allocator = Ledger::default();
+        assert!(run_as_allocator(&mut allocator, &mut None, &reservation("r-1", "a", 0)));
+        allocator.transfer("p", true, Instant::now());
+        allocator.sweep(Instant::now() + RETENTION * 10);
+        assert_eq!(allocator.close().len(), 1);
+    }
+
+    // Guards against two records of one program in the call that closes a ledger.
+    a_share_that_went_away_and_came_back_is_recorded_once {
+        let (mut allocator, mut other) = (Ledger::default(), Ledger::default());
+        let now = Instant::now();
+        assert!(run_as_allocator(&mut allocator, &mut None, &reservation("r-1", "a", 0)));
+        for (from, to) in [(true, false), (false, true)] {
+            let (giver, taker) = match from {
+                true => (&mut allocator, &mut other),
+                false => (&mut other, &mut allocator),
+            };
+            let Transfer::Account(snapshot) = giver.transfer("p", from, now) else {
+                panic!("no account to take over; to the allocator: {to}");
+            };
+            taker.take_over("p".into(), *snapshot, 1, now);
+        }
+        assert_eq!(allocator.close().len(), 1);
+    }
+
+    a_program_that_is_forgotten_long_enough_is_a_new_one {
+        let (mut allocator, mut record) = (Ledger::default(), None);
+        assert!(run_as_allocator(&mut allocator, &mut record, &reservation("r-1", "a", 0)));
+        let now = Instant::now();
+        allocator.sweep(now + RETENTION * 2);
+        assert!(!allocator.may_use_share("p", allowance(ALLOCATOR)));
+        allocator.sweep(now + PROGRAM_LIFETIME);
+        assert!(!allocator.may_use_share("p", allowance(ALLOCATOR)));
+        for lifetimes in 1..=3 {
+            allocator.sweep(now + PROGRAM_LIFETIME * lifetimes + RETENTION * 3);
+        }
+        assert!(allocator.may_use_share("p", allowance(ALLOCATOR)));
+    }
+
+    // Guards against tokens that an owner does not count because a daemon's total started anew.
+    tokens_of_a_count_that_was_dropped_are_counted_once_more {
+        let mut counts = Counts::new("a".into());
+        let now = Instant::now();
+        counts.add("p", 300, now);
+        let (mut ledger, mut record) = (Ledger::default(), None);
+        let (name, total) = counts.report("p", now);
+        assert!(run_as_allocator(&mut ledger, &mut record, &reservation("r-1", &name, 0)));
+        ledger.settle("p", "r-1", &name, total);
+        counts.sweep(now + Duration::from_secs(200));
+        // Through other daemons, the program stays in use at its owner.
+        let later = now + Duration::from_secs(200);
+        let (name, total) = counts.report("p", later);
+        assert!(run_as_allocator(&mut ledger, &mut record, &reservation("r-2", &name, total)));
+        counts.add("p", 200, later);
+        let (name, total) = counts.report("p", later);
+        ledger.settle("p", "r-2", &name, total);
+        assert_eq!(ledger.summary("p").map(|summary| summary.spent), Some(500));
+    }
+
+    a_count_keeps_its_name_while_it_is_in_use {
+        let mut counts = Counts::new("a".into());
+        let now = Instant::now();
+        counts.add("p", 10, now);
+        counts.add("q", 10, now);
+        let later = now + Duration::from_secs(100);
+        counts.report("p", later);
+        counts.sweep(now + Duration::from_secs(130));
+        assert_eq!(counts.report("p", later), ("a".into(), 10));
+        assert_eq!(counts.report("q", later), ("a.1".into(), 0));
+    }
+
     a_recorded_stop_applies_to_a_later_owner {
         let turn = reservation("r", "b", 0);
         let mut record = Some(spend::record_after_stop(&turn, None, &first_term(), 0));
