Bound the values that other writers set where they are decoded

What operators reported: one odd entry among the registrations (deep nesting, a number too large, a port out of range) ended daemons or their watch.

An entry that is ignored writes a log line (target platform) and counts in odd_entries_total, also when a change takes an endpoint away. Entries that cannot be decoded are left out of a listing instead of failing it. A budget record that cannot be decoded is no longer taken for a missing one; nothing is drawn from it. A member key must name its VM. Frames of peers have a limit in memory.

--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -254,10 +254,11 @@
         }
         let key = members::record_key(program);
         let entry = found.iter().find(|entry| entry.key == key);
-        let cached = entry.map_or_else(CachedRecord::default, |entry| CachedRecord {
-            revision: entry.revision,
-            record: serde_json::from_slice(&entry.value).ok(),
+        // Without the revision, the next write conflicts too, and the record is read.
+        let cached = entry.and_then(|entry| {
+            Some(CachedRecord { revision: entry.revision, record: Some(decode(entry).ok()?) })
         });
+        let cached = cached.unwrap_or_default();
         self.cache_record(program, cached.clone());
         cached
     }
@@ -296,10 +297,8 @@
 
     async fn fetch(&self, program: &str) -> Result<CachedRecord, Error> {
         let cached = match self.call(self.kv.get(&members::record_key(program))).await? {
-            Some(entry) => CachedRecord {
-                revision: entry.revision,
-                record: serde_json::from_slice(&entry.value).ok(),
-            },
+            // What an unreadable record counts as drawn is not known, so nothing is drawn.
+            Some(entry) => CachedRecord { revision: entry.revision, record: Some(decode(&entry)?) },
             None => CachedRecord::default(),
         };
         self.cache_record(program, cached.clone());
@@ -326,6 +325,11 @@
     }
 }
 
+fn decode(entry: &Entry) -> Result<Record, Error> {
+    serde_json::from_slice(&entry.value)
+        .map_err(|error| Error::Malformed(format!("record {}: {error}", entry.key)))
+}
+
 fn encode(record: &Record) -> Result<Vec<u8>, Error> {
     serde_json::to_vec(record).map_err(|error| Error::Malformed(error.to_string()))
 }
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -470,13 +470,26 @@
     }
 }
 
+/// Decodes a registration; returns `None` for other entries and for odd ones, which are logged.
 fn decode_registration(entry: &Entry) -> Option<Registration> {
-    registry::decode(registry::endpoint_id(&entry.key)?, &entry.value)
+    let id = registry::endpoint_id(&entry.key)?;
+    registry::decode(id, &entry.value).inspect_err(|error| log_odd_entry(entry, error)).ok()
 }
 
+/// Decodes a member; returns `None` for other entries and for odd ones, which are logged.
 fn decode_member(entry: &Entry) -> Option<Member> {
-    entry.key.strip_prefix(members::PREFIX)?;
-    serde_json::from_slice(&entry.value).ok()
+    let vm = entry.key.strip_prefix(members::PREFIX)?;
+    let member: Result<Member, _> = serde_json::from_slice(&entry.value);
+    // A member under another name would never leave.
+    member.inspect_err(|error| log_odd_entry(entry, error)).ok().filter(|member| member.vm == vm)
+}
+
+fn log_odd_entry(entry: &Entry, error: &impl std::fmt::Display) {
+    metrics::counter!("odd_entries_total").increment(1);
+    log::warn!(
+        target: "platform", key = entry.key.as_str(), revision = entry.revision;
+        "ignoring an entry: {error}"
+    );
 }
 
 /// Converts an event into a change of the view, if it concerns the view.
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -9,6 +9,8 @@
 
 /// Maximum length of a frame's body, in bytes.
 pub(crate) const MAX_FRAME_BYTES: usize = 8 << 20;
+/// Maximum size of a decoded frame, in bytes; in memory, values take more than in the frame.
+const MAX_DECODED_BYTES: usize = 8 * MAX_FRAME_BYTES;
 /// Length of the prefix, in bytes; it holds the body's length as a big-endian integer.
 const LENGTH_BYTES: usize = 4;
 
@@ -101,6 +103,8 @@
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
-    let decoded = bincode::serde::decode_from_slice(body, bincode::config::standard());
+    // Without a limit, a frame that announces a huge list would allocate it before it is read.
+    let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let decoded = bincode::serde::decode_from_slice(body, config);
     decoded.map(|(value, _)| value).map_err(|error| Error::Malformed(error.to_string()))
 }
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -18,6 +18,9 @@
 /// Maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Header of a complete response that says how long the connection stays open.
+const KEEP_ALIVE: &str = "Keep-Alive: timeout=5";
+
 /// Handling of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -25,6 +28,8 @@
     Respond,
     /// Sends a complete response after a delay.
     RespondAfter(Duration),
+    /// Sends a complete response with this line in place of the usual `Keep-Alive` header.
+    RespondWith(&'static str),
     /// Sends a complete response with status 500.
     InternalError,
     /// Streams events up to number `events`, one every `gap`, starting after `Last-Event-Id`. After
@@ -211,6 +216,12 @@
                 }
                 self.send(stream, &complete_response(&run.id, 200, "served")).await
             }
+            Behaviour::RespondWith(header) => {
+                let response = complete_response(&run.id, 200, "served");
+                let response = String::from_utf8_lossy(&response);
+                let response = response.replace(KEEP_ALIVE, header);
+                self.send(stream, response.as_bytes()).await
+            }
             Behaviour::InternalError => {
                 self.send(stream, &complete_response(&run.id, 500, "failed")).await
             }
@@ -373,7 +384,7 @@
 fn complete_response(id: &str, status: u16, body: &str) -> Vec<u8> {
     let head = format!(
         "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\nResponse-Signature: sig.{id}\r\n\
-         Keep-Alive: timeout=5\r\nContent-Length: {}\r\n\r\n",
+         {KEEP_ALIVE}\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
     [head.as_bytes(), body.as_bytes()].concat()
