Let streams go on after the loss of all daemons

What operators reported: with two software versions in service, or just after one had left, streams that were taken up after the loss of all daemons were joined from both.

Here: the records of which version began a stream were in memory only, so after such a loss every stream that a client took up was refused (503, no_origin), also where only one version serves. That kept the order, and lost streams that could go on.

Change: sched::versions is a register of the versions of each service in the key-value service. Delegates write it when a version appears, or has had no endpoints for 5 s, and an endpoint gets no requests before its version is announced there (3 s at most). A daemon that has no record of a stream reads the register after it got the request; if only one version has served within three timeouts of the route and 5 s, the stream goes on there. While several serve, the beginnings of streams also go to one writer, which appends them to keys under a lease, one call in 100 ms at most for all daemons. Otherwise the stream is refused at once, as before.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::settings::{Settings, millis};
 use crate::signals::Signals;
 use crate::terms;
+use crate::versions;
 use crate::view::{Scope, View};
 use crate::view_sync::{FIRST_START_GRACE, SUBSCRIPTIONS, SyncStatus, Synchronizer};
 use anyhow::{Context, Result};
@@ -63,7 +64,8 @@
     let sync_status = Arc::new(SyncStatus::new(Instant::now() + grace));
     let phase = watch::Sender::new(Phase::Serving);
     let connections = Tracker::default();
-    let context = Arc::new(ForwardContext::new(settings.clone(), view.clone(), budgets.clone()));
+    let context =
+        Arc::new(ForwardContext::new(settings.clone(), view.clone(), budgets.clone(), kv.clone()));
     let traffic = {
         let (settings, phase, connections) =
             (settings.clone(), phase.subscribe(), connections.clone());
@@ -74,6 +76,7 @@
             let peers = TcpListener::bind(settings.peer_addr).await?;
             tokio::spawn(serve_peers(peers, context.clone(), budgets, view));
             tokio::spawn(context.coordinators.clone().run_reports());
+            tokio::spawn(context.origins.clone().run_writer());
             ingress::serve(listener, context, phase, connections).await;
             anyhow::Ok(())
         };
@@ -108,6 +111,7 @@
         });
         tokio::spawn(sweep(context));
         tokio::spawn(terms::run(budgets.clone(), kv.clone()));
+        tokio::spawn(versions::run(settings.clone(), synchronizer.view.clone(), kv.clone()));
         let registration =
             tokio::spawn(maintain_registration(settings.clone(), kv.clone(), budgets.incarnation));
         log::info!(target: "daemon", vm = settings.vm.as_str(); "started");
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -25,6 +25,7 @@
 use sched::fleet::{Criteria, Registration};
 use sched::id::{EndpointId, SoftwareVersion, Version};
 use sched::limit::Permit;
+use sched::origin;
 use sched::request::Metadata;
 use sched::retry;
 use sched::route::{Engine, Route, Table};
@@ -69,11 +70,16 @@
 
 impl Context {
     /// Creates the state, with an empty connection pool.
-    pub fn new(settings: Arc<Settings>, view: Arc<View>, budgets: Arc<Budgets>) -> Self {
+    pub fn new(
+        settings: Arc<Settings>,
+        view: Arc<View>,
+        budgets: Arc<Budgets>,
+        kv: platform::kv::Client,
+    ) -> Self {
         let rng = Mutex::new(fastrand::Rng::new());
         let coordinators =
             Arc::new(Coordinators::new(settings.clone(), view.clone(), budgets.clone()));
-        let origins = Arc::new(Origins::new(settings.clone(), view.clone(), budgets.clone()));
+        let origins = Arc::new(Origins::new(settings.clone(), view.clone(), budgets.clone(), kv));
         let (pool, buffers, retry_budget) =
             (Arc::default(), answers::Limiter::default(), Mutex::default());
         Self { settings, view, pool, budgets, coordinators, origins, buffers, retry_budget, rng }
@@ -271,8 +277,13 @@
             return Ok(());
         }
         let begun = metadata.resumes.as_ref().ok_or(Reason::NoOrigin)?;
-        self.origin = self.context.origins.find(begun).await;
-        let known = if self.origin.is_some() { "yes" } else { "no" };
+        let origins = &self.context.origins;
+        let mut known = "yes";
+        self.origin = origins.find(begun).await;
+        if self.origin.is_none() {
+            self.origin = origins.find_durably(begun, &self.service, self.resume_window()).await;
+            known = if self.origin.is_some() { "durably" } else { "no" };
+        }
         metrics::counter!("streams_resumed_by_clients_total", "known" => known).increment(1);
         self.origin.as_ref().map(drop).ok_or(Reason::NoOrigin)
     }
@@ -281,10 +292,16 @@
     pub fn record_origin(&mut self, version: &SoftwareVersion) {
         if self.origin.is_none() {
             self.origin = Some(version.clone());
-            self.context.origins.record(&self.request.metadata.id, version);
+            let (id, window) = (&self.request.metadata.id, self.resume_window());
+            self.context.origins.record(id, version, &self.service, window);
         }
     }
 
+    /// Returns the time within which the client resumes the stream, counted from its first event.
+    fn resume_window(&self) -> Duration {
+        origin::resume_window(self.route.timeout)
+    }
+
     /// Returns whether an endpoint has the version that began the stream, if one did.
     fn allows(&self, registration: &Registration) -> bool {
         self.origin.as_ref().is_none_or(|origin| *origin == registration.version)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,8 @@
 //!   stores their durable part, [`draws`] batches changes to it into one call, and [`terms`] opens
 //!   the terms that determine the allocators;
 //! * [`coordinators`] books endpoints, so that the daemons together spread the load evenly;
-//! * [`origins`] records which software versions began streams;
+//! * [`origins`] records which software versions began streams, and [`versions`] announces which
+//!   versions serve;
 //! * [`retire`] answers requests to retire a storage VM;
 //! * [`daemon`] starts and stops a gateway, [`settings`] defines its settings, [`inflight`] counts
 //!   connections that a shutdown waits for, and [`signals`] handles the platform's signals;
@@ -48,5 +49,6 @@
 pub mod storage;
 pub mod terms;
 pub mod upstream;
+pub mod versions;
 pub mod view;
 pub mod view_sync;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -12,6 +12,7 @@
 use sched::id::VmId;
 use sched::members;
 use sched::term::{Allocator, Incarnation, TermView, Terms};
+use sched::versions::Register;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,12 @@
 pub const PREFIX: &str = "scheduler/member/";
 /// Key of the allocation terms.
 pub const TERMS_KEY: &str = "scheduler/terms";
+/// Key of the register of software versions.
+pub const VERSIONS_KEY: &str = "scheduler/versions";
+/// Prefix of the keys that hold durable records of which versions began streams.
+///
+/// The directory watch does not cover it: the records are read only after a loss of daemons.
+pub const ORIGINS: &str = "origin/";
 /// Prefix of the keys that mark closed allocators, which have recorded how much of their shares
 /// they used.
 pub const CLOSED: &str = "scheduler/closed/";
@@ -57,6 +64,19 @@
     }
 }
 
+/// Decodes the register of software versions and the revision at which it was written.
+///
+/// Logs an error and returns `None` if the value is malformed.
+pub fn decode_versions(entry: &Entry) -> Option<(Register, Revision)> {
+    match serde_json::from_slice(&entry.value) {
+        Ok(register) => Some((register, entry.revision)),
+        Err(error) => {
+            log::error!(target: "resume", "the register of versions cannot be decoded: {error}");
+            None
+        }
+    }
+}
+
 /// Returns the key of a program's durable budget record.
 pub fn record_key(program: &str) -> CompactString {
     format_compact!("{RECORDS}{program}")
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,43 +1,90 @@
 //! Records which software versions began streams, and finds the records of other daemons.
 //!
-//! The rules are those of [`sched::origin`].
+//! The rules are those of [`sched::origin`] and [`sched::versions`]. While several versions of a
+//! service serve, its records also go to a writer, the one that batches draws, which appends them to
+//! keys in the key-value service, one call for all of them in an interval.
 
 use crate::budgets::Budgets;
+use crate::members;
+use crate::owner::unix_ms;
 use crate::settings::Settings;
 use crate::view::View;
+use compact_str::format_compact;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use indexmap::IndexMap;
 use peer::gateway::{Command, Member, Response};
 use peer::wire::{Reply, Request};
+use platform::kv::{Client, Error, LeaseId};
 use sched::id::{RequestId, SoftwareVersion};
 use sched::origin::{self, COPIES};
+use sched::versions::Register;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::time::{sleep, timeout};
 
 /// Timeout of one request to a holder of records.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of reading the durable records.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of members beyond [`COPIES`] that are asked, because members may have joined since the
 /// record was made.
 const EXTRA_HOLDERS: usize = 1;
+/// Interval at which new records are written to the key-value service.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time to live of the leases that the durable records are bound to.
+const LEASE_TTL: Duration = Duration::from_secs(120);
+/// Time after which new records are bound to another lease. Records thus live longer than any window
+/// within which streams are resumed.
+const LEASE_USE: Duration = Duration::from_secs(50);
+/// Maximum number of records that wait to be written; without a durable record, a stream is not
+/// resumed after the loss of all daemons.
+const MAX_UNWRITTEN: usize = 20_000;
+
+/// Versions that began streams, by the client's attempt that brought the first event.
+type Records = IndexMap<RequestId, SoftwareVersion>;
+
+/// What the key-value service holds about streams, as of a time.
+#[derive(Clone)]
+struct Durable {
+    read_at: Instant,
+    register: Register,
+    records: Records,
+}
 
 /// Records of this daemon, and access to those of the others.
 pub struct Origins {
     settings: Arc<Settings>,
     view: Arc<View>,
     budgets: Arc<Budgets>,
+    kv: Client,
     held: Mutex<origin::Origins>,
+    /// Records to be written to the key-value service.
+    unwritten: Mutex<Records>,
+    /// Held during a read, so that requests that arrive meanwhile share the next one.
+    durable: tokio::sync::Mutex<Option<Durable>>,
 }
 
 impl Origins {
     /// Creates the state, without records.
-    pub fn new(settings: Arc<Settings>, view: Arc<View>, budgets: Arc<Budgets>) -> Self {
-        Self { settings, view, budgets, held: Mutex::default() }
+    pub fn new(
+        settings: Arc<Settings>,
+        view: Arc<View>,
+        budgets: Arc<Budgets>,
+        kv: Client,
+    ) -> Self {
+        let (held, unwritten, durable) = Default::default();
+        Self { settings, view, budgets, kv, held, unwritten, durable }
     }
 
     fn held(&self) -> MutexGuard<'_, origin::Origins> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn unwritten(&self) -> MutexGuard<'_, Records> {
+        self.unwritten.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the first `count` holders of the record of a stream.
     fn holders(&self, request: &str, count: usize) -> Vec<Member> {
         self.view.with_members(|live| {
@@ -46,20 +93,48 @@
         })
     }
 
-    /// Records at this daemon and the holders which version sent the first event of a stream.
+    /// Records at this daemon and the holders which version sent the first event of a stream, and in
+    /// the key-value service if several versions of `service` may be resumed within `window`.
     ///
     /// The client's attempt that brings this event is `request`. A record that does not arrive is not
-    /// repeated: without one, the stream is not resumed.
-    pub fn record(&self, request: &RequestId, version: &SoftwareVersion) {
+    /// repeated.
+    pub fn record(
+        &self,
+        request: &RequestId,
+        version: &SoftwareVersion,
+        service: &str,
+        window: Duration,
+    ) {
         self.record_locally(request.clone(), version.clone(), Instant::now());
+        let mut receivers: IndexMap<_, (Member, bool)> = IndexMap::new();
         for holder in self.holders(request, COPIES) {
-            if holder.vm != self.settings.vm {
-                let (request, version) = (request.clone(), version.clone());
-                self.budgets.send_one_way(holder.addr, Command::Began { request, version });
+            receivers.insert(holder.vm.clone(), (holder, false));
+        }
+        if self.view.is_mixed(service, since_ms(window))
+            && let Some(writer) = self.writer(request)
+        {
+            receivers.insert(writer.vm.clone(), (writer, true));
+        }
+        for (vm, (member, durable)) in receivers {
+            match vm == self.settings.vm {
+                true if durable => self.record_durably(request.clone(), version.clone()),
+                true => {}
+                false => {
+                    let (request, version) = (request.clone(), version.clone());
+                    let command = Command::Began { request, version, durable };
+                    self.budgets.send_one_way(member.addr, command);
+                }
             }
         }
     }
 
+    fn writer(&self, request: &str) -> Option<Member> {
+        let now = Instant::now();
+        self.view.with_members(|live| {
+            members::writer(request, live, &self.budgets.suspects, now).cloned()
+        })
+    }
+
     /// Holds the record of a stream.
     pub fn record_locally(&self, request: RequestId, version: SoftwareVersion, now: Instant) {
         if !self.held().record(request, version, now) {
@@ -67,6 +142,15 @@
         }
     }
 
+    /// Adds a record to those that are written to the key-value service next.
+    pub fn record_durably(&self, request: RequestId, version: SoftwareVersion) {
+        let mut unwritten = self.unwritten();
+        match unwritten.len() < MAX_UNWRITTEN {
+            true => drop(unwritten.insert(request, version)),
+            false => metrics::counter!("stream_records_dropped_total").increment(1),
+        }
+    }
+
     /// Returns the version that began a stream, according to this daemon's records.
     pub fn find_locally(&self, request: &str) -> Option<SoftwareVersion> {
         self.held().find(request).cloned()
@@ -89,6 +173,104 @@
         None
     }
 
+    /// Returns the version that began a stream of `service` within `window`, according to the
+    /// key-value service, or `None` if several may have.
+    ///
+    /// The service is read after the call began, so the register lists every version that a daemon
+    /// may have used before.
+    pub async fn find_durably(
+        &self,
+        request: &RequestId,
+        service: &str,
+        window: Duration,
+    ) -> Option<SoftwareVersion> {
+        let asked_at = Instant::now();
+        let found = timeout(READ_TIMEOUT, self.read_durable(asked_at)).await;
+        let found = match found.unwrap_or_else(|_| Err(Error::Unknown("timed out".to_owned()))) {
+            Ok(found) => found,
+            Err(error) => {
+                log::info!(
+                    target: "resume", request = request.as_str();
+                    "failed to read which versions began streams: {error}"
+                );
+                return None;
+            }
+        };
+        let recorded = found.records.get(request);
+        recorded.or_else(|| found.register.only_version(service, since_ms(window))).cloned()
+    }
+
+    async fn read_durable(&self, asked_at: Instant) -> Result<Durable, Error> {
+        let mut durable = self.durable.lock().await;
+        if let Some(found) = durable.as_ref().filter(|found| found.read_at >= asked_at) {
+            return Ok(found.clone());
+        }
+        let read_at = Instant::now();
+        let register = self.kv.get(members::VERSIONS_KEY);
+        let listing = self.kv.list(members::ORIGINS, "");
+        let (register, listing) = tokio::try_join!(register, listing)?;
+        let register = register.as_ref().and_then(members::decode_versions);
+        let records = listing.entries.iter().filter_map(|entry| {
+            serde_json::from_slice::<Records>(&entry.value)
+                .inspect_err(|error| {
+                    log::warn!(
+                        target: "resume", key = entry.key.as_str();
+                        "ignoring records of streams that cannot be decoded: {error}"
+                    );
+                })
+                .ok()
+        });
+        let records = records.flatten().collect();
+        let found = Durable { read_at, register: register.unwrap_or_default().0, records };
+        *durable = Some(found.clone());
+        Ok(found)
+    }
+
+    /// Writes the records that this daemon got as their writer.
+    pub async fn run_writer(self: Arc<Self>) {
+        let mut lease: Option<(LeaseId, Instant)> = None;
+        for number in 0_u64.. {
+            sleep(WRITE_INTERVAL).await;
+            let records = std::mem::take(&mut *self.unwritten());
+            if records.is_empty() {
+                continue;
+            }
+            if let Err(error) = self.write(&records, number, &mut lease).await {
+                log::info!(
+                    target: "resume", count = records.len();
+                    "failed to record which versions began streams, will retry: {error}"
+                );
+                lease = None;
+                for (request, version) in records {
+                    self.record_durably(request, version);
+                }
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        records: &Records,
+        number: u64,
+        lease: &mut Option<(LeaseId, Instant)>,
+    ) -> Result<(), Error> {
+        let granted = lease.filter(|(_, granted_at)| granted_at.elapsed() < LEASE_USE);
+        let id = match granted {
+            Some((id, _)) => id,
+            None => {
+                let granted_at = Instant::now();
+                let id = self.kv.grant(LEASE_TTL).await?;
+                *lease = Some((id, granted_at));
+                id
+            }
+        };
+        let (vm, process) = (&self.settings.vm, self.budgets.incarnation);
+        let key = format_compact!("{}{vm}/{process:x}/{number}", members::ORIGINS);
+        let value =
+            serde_json::to_vec(records).map_err(|error| Error::Malformed(error.to_string()))?;
+        self.kv.put(&key, &value, Some(id)).await
+    }
+
     async fn ask(&self, holder: Member, request: &RequestId) -> Option<SoftwareVersion> {
         let message = Request::Gateway(Box::new(Command::FindOrigin(request.clone())));
         match self.budgets.peers().first_reply(&holder.addr, &message, REQUEST_TIMEOUT).await {
@@ -110,3 +292,8 @@
         metrics::gauge!("stream_records").set(held.len() as f64);
     }
 }
+
+/// Returns the beginning of a window that ends now, in milliseconds since the Unix epoch.
+fn since_ms(window: Duration) -> u64 {
+    unix_ms().saturating_sub(window.as_millis() as u64)
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -75,7 +75,10 @@
                 reply(&sender, Response::Drawn(drawn)).await;
             });
         }
-        Command::Began { request, version } => {
+        Command::Began { request, version, durable } => {
+            if durable {
+                origins.record_durably(request.clone(), version.clone());
+            }
             origins.record_locally(request, version, Instant::now());
         }
         Command::FindOrigin(request) => {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -13,6 +13,7 @@
 use sched::members::weight;
 use sched::route::Table;
 use sched::term::{Allocator, Incarnation, TermView, Terms};
+use sched::versions::Register;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -30,6 +31,9 @@
     fleet: Fleet,
     members: IndexMap<VmId, Member>,
     terms: TermView,
+    versions: Register,
+    /// Revision at which the register of versions was written; 0 if there is none.
+    versions_revision: u64,
     revision: u64,
     /// The most recent changes, oldest first.
     recent_changes: VecDeque<Change>,
@@ -92,6 +96,22 @@
         newer
     }
 
+    /// Replaces the register of versions if `revision` is newer than that of the current one.
+    fn update_versions(&mut self, versions: Register, revision: u64) {
+        if revision > self.versions_revision {
+            log::info!(target: "resume", revision; "the announced software versions changed");
+            self.versions = versions;
+            self.versions_revision = revision;
+        }
+    }
+
+    /// Holds back endpoints whose versions are not announced, once there is a register.
+    fn hold_unannounced(&mut self, now: Instant) {
+        if self.versions_revision > 0 {
+            self.fleet.hold_unannounced(&self.versions, now);
+        }
+    }
+
     /// Returns the index of the next change, counted from the start of the process.
     fn next_index(&self) -> u64 {
         self.discarded + self.recent_changes.len() as u64
@@ -219,6 +239,27 @@
         }
     }
 
+    /// Replaces the register of versions if the one written at `revision` is newer.
+    pub fn update_versions(&self, versions: Register, revision: u64, now: Instant) {
+        {
+            let mut state = self.lock();
+            state.update_versions(versions, revision);
+            state.hold_unannounced(now);
+        }
+        self.notify();
+    }
+
+    /// Returns the register of versions and the revision at which it was written, 0 if there is none.
+    pub fn versions(&self) -> (Register, u64) {
+        let state = self.lock();
+        (state.versions.clone(), state.versions_revision)
+    }
+
+    /// Returns whether several versions of a service may have written a stream since `since_ms`.
+    pub fn is_mixed(&self, service: &str, since_ms: u64) -> bool {
+        self.lock().versions.is_mixed(service, since_ms)
+    }
+
     /// Removes the closed allocators that are not in `referenced`.
     pub fn remove_closed(&self, referenced: &IndexSet<Incarnation>) {
         self.lock().terms.closed.retain(|allocator| referenced.contains(allocator));
@@ -290,6 +331,7 @@
                 state.record_change(change.clone());
                 apply(&mut state, change, now);
             }
+            state.hold_unannounced(now);
             state.revision = state.revision.max(revision);
         }
         self.notify();
@@ -301,6 +343,7 @@
         registrations: Vec<Registration>,
         members: Vec<Member>,
         terms: TermView,
+        (versions, versions_revision): (Register, u64),
         revision: u64,
         now: Instant,
     ) {
@@ -314,6 +357,8 @@
             state.fleet.deregister_absent(&present, now);
             state.update_terms(terms.terms, terms.revision);
             state.terms.closed.extend(terms.closed);
+            state.update_versions(versions, versions_revision);
+            state.hold_unannounced(now);
             state.departed.retain(|_, (_, at)| now.duration_since(*at) <= DEPARTED_TTL);
             let members: IndexMap<VmId, Member> =
                 members.into_iter().map(|member| (member.vm.clone(), member)).collect();
@@ -342,7 +387,8 @@
         if view.revision <= self.revision() {
             return false;
         }
-        self.replace(view.registrations, view.members, view.terms, view.revision, now);
+        let Exported { registrations, members, terms, versions, revision, .. } = view;
+        self.replace(registrations, members, terms, versions, revision, now);
         true
     }
 
@@ -382,6 +428,7 @@
                 registrations: state.fleet.registrations(),
                 members: state.members.values().cloned().collect(),
                 terms: state.terms.clone(),
+                versions: (state.versions.clone(), state.versions_revision),
                 revision,
             }),
         }
@@ -406,6 +453,7 @@
             state.members.insert(member.vm.clone(), member);
         }
         Change::Terms(terms, revision) => drop(state.update_terms(terms, revision)),
+        Change::Versions(versions, revision) => state.update_versions(versions, revision),
         Change::Closed(allocator) => drop(state.terms.closed.insert(allocator)),
         Change::Left(vm) => {
             if let Some(member) = state.members.swap_remove(&vm) {
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -384,7 +384,9 @@
         let (terms, terms_revision) = terms.and_then(members::decode_terms).unwrap_or_default();
         let closed = entries.iter().filter_map(|entry| members::closed_allocator(&entry.key));
         let term_view = TermView { terms, revision: terms_revision, closed: closed.collect() };
-        self.view.replace(registrations, members, term_view, revision, Instant::now());
+        let versions = entries.iter().find(|entry| entry.key == members::VERSIONS_KEY);
+        let versions = versions.and_then(members::decode_versions).unwrap_or_default();
+        self.view.replace(registrations, members, term_view, versions, revision, Instant::now());
     }
 
     /// Subscribes to one delegate after another.
@@ -506,6 +508,10 @@
                 return members::decode_terms(&entry)
                     .map(|(terms, revision)| Change::Terms(terms, revision));
             }
+            if entry.key == members::VERSIONS_KEY {
+                return members::decode_versions(&entry)
+                    .map(|(versions, revision)| Change::Versions(versions, revision));
+            }
             let joined = decode_member(&entry).map(Change::Joined);
             joined.or_else(|| members::closed_allocator(&entry.key).map(Change::Closed))
         }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -8,6 +8,7 @@
 use sched::route::Table;
 use sched::spend;
 use sched::term::{Incarnation, TermView, Terms};
+use sched::versions::Register;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
     Left(VmId),
     /// The allocation terms changed at this revision.
     Terms(Terms, u64),
+    /// The register of software versions changed at this revision.
+    Versions(Register, u64),
     /// An allocator closed its ledger: it recorded the tokens that it had handed out of its shares,
     /// and hands out no more.
     Closed(Incarnation),
@@ -68,6 +71,8 @@
     /// The allocation terms, with the allocators that have closed their ledgers.
     #[serde(rename = "roll")]
     pub terms: TermView,
+    /// The register of software versions, with the revision at which it was written.
+    pub versions: (Register, u64),
     /// Revision of the key-value service up to which the view is current.
     pub revision: u64,
 }
@@ -142,6 +147,8 @@
         request: RequestId,
         /// Version of the endpoint's software.
         version: SoftwareVersion,
+        /// Whether the receiver writes the record to the key-value service, too.
+        durable: bool,
     },
     /// Asks which software version began the stream of this client's attempt.
     FindOrigin(RequestId),
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::id::{DcId, EndpointId, ServiceId, SoftwareVersion};
 use crate::members;
+use crate::versions::{Register, Serving};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -27,6 +28,9 @@
 /// Registrations expire while the registry is unavailable and reappear shortly after it is back. An
 /// endpoint that leaves keeps serving for longer than this after its registration is gone.
 const DEREGISTRATION_GRACE: Duration = Duration::from_millis(1_400);
+/// Time for which an endpoint is held back until its version is announced. Beyond it, requests matter
+/// more than streams that go on after the loss of all daemons.
+const MAX_HOLD: Duration = Duration::from_secs(3);
 /// Time for which an endpoint that left is remembered; longer than another daemon's view may be out
 /// of date without that daemon noticing.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(10);
@@ -78,13 +82,16 @@
     full_until: Option<Instant>,
     /// Time at which the registration disappeared, if it did.
     deregistered_at: Option<Instant>,
+    /// Time until which it gets no requests because its version is not announced.
+    held_until: Option<Instant>,
 }
 
 impl Endpoint {
     fn usable(&self, now: Instant) -> bool {
         let available =
             self.deregistered_at.is_none_or(|at| now.duration_since(at) < DEREGISTRATION_GRACE);
-        available && self.registration.state == State::Ready
+        let held = self.held_until.is_some_and(|until| now < until);
+        available && !held && self.registration.state == State::Ready
     }
 
     fn ejected(&self, now: Instant) -> bool {
@@ -160,11 +167,35 @@
             ejected_until: None,
             full_until: None,
             deregistered_at: None,
+            held_until: None,
             registration,
         };
         self.endpoints.insert(endpoint.registration.id.clone(), endpoint);
     }
 
+    /// Holds back the endpoints whose versions `register` does not list, see [`crate::versions`].
+    pub fn hold_unannounced(&mut self, register: &Register, now: Instant) {
+        for endpoint in self.endpoints.values_mut() {
+            let Registration { service, version, .. } = &endpoint.registration;
+            endpoint.held_until = match register.lists(service, version) {
+                true => None,
+                false => endpoint.held_until.or(Some(now + MAX_HOLD)),
+            };
+        }
+    }
+
+    /// Returns the services and versions that have registered endpoints.
+    pub fn serving(&self) -> Serving {
+        let registered =
+            self.endpoints.values().filter(|endpoint| endpoint.deregistered_at.is_none());
+        let pairs = registered.map(|endpoint| {
+            let Registration { service, version, .. } = &endpoint.registration;
+            (service, version)
+        });
+        let pairs: IndexSet<_> = pairs.collect();
+        pairs.into_iter().map(|(service, version)| (service.clone(), version.clone())).collect()
+    }
+
     /// Records that the registration of an endpoint disappeared.
     pub fn deregister(&mut self, id: &str, now: Instant) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,7 +9,8 @@
 //! * [`queue`], [`place`], [`predict`] and [`health`] select which call runs next, and at which
 //!   endpoint;
 //! * [`route`], [`request`], [`attempt`], [`fleet`], [`prefix`], [`coordinator`], [`admission`],
-//!   [`limit`], [`origin`], [`retry`], [`spend`] and [`term`] handle requests that are routed by host and path;
+//!   [`limit`], [`origin`], [`versions`], [`retry`], [`spend`] and [`term`] handle requests that are
+//!   routed by host and path;
 //! * [`members`] assigns logs and endpoints to live daemons;
 //! * [`freshness`] tells how current a daemon's view is.
 
@@ -39,3 +40,4 @@
 pub mod route;
 pub mod spend;
 pub mod term;
+pub mod versions;
--- a/crates/sched/src/origin.rs
+++ b/crates/sched/src/origin.rs
@@ -5,7 +5,11 @@
 //! event. No daemon can compute the version from that: which versions serve changes during a
 //! release, and daemons learn of it at different times. So the daemon that forwards the first event
 //! records the version at a few members ([`holders`]), and a daemon that gets a later attempt asks
-//! them. Without a record the stream does not go on: a record can be lost, but never be wrong.
+//! them. A record can be lost, but never be wrong.
+//!
+//! The records are lost if all daemons are. Then the stream goes on only if the register of versions
+//! (see [`crate::versions`]) shows that no other version can have begun it, or if its beginning was
+//! recorded in the key-value service, as it is while several versions serve. Otherwise it is refused.
 
 use crate::id::{RequestId, SoftwareVersion, VmId};
 use crate::members;
@@ -14,12 +18,22 @@
 
 /// Time for which a record is kept; longer than clients try to resume a stream.
 const RETENTION: Duration = Duration::from_secs(60);
+/// Number of a route's timeouts within which the attempts of one request follow each other.
+const MAX_ATTEMPT_TIMEOUTS: u32 = 3;
+/// Margin for the clocks of VMs, which differ.
+const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 /// Maximum number of records; a stream beyond that cannot be resumed by its client.
 const MAX_RECORDS: usize = 50_000;
 /// Number of members that hold the record of a stream. A stream resumes while one of them is left: with
 /// half of the members lost at once, seven of eight streams do.
 pub const COPIES: usize = 3;
 
+/// Returns the time within which clients resume the streams of a route, counted from their first
+/// events.
+pub fn resume_window(route_timeout: Duration) -> Duration {
+    route_timeout.saturating_mul(MAX_ATTEMPT_TIMEOUTS).saturating_add(CLOCK_MARGIN).min(RETENTION)
+}
+
 #[derive(Clone, Debug)]
 struct Record {
     version: SoftwareVersion,
