Verify the process of an endpoint before a stream goes on at it

What operators reported: a daemon out of step during a release (cut off, or standing still) went on with streams at an engine of another version.

Cause: a daemon knows an engine's version from its registration. An engine that starts again under its id and address may have another one, and a daemon that is cut off, or has just woken, does not know. It went on there with a stream of the earlier version, or recorded the earlier version for a stream of the new one, which another daemon then followed. The header that names the endpoint does not help, as the id is the same.

Change: before a stream goes on, and before a resumable stream begins while the view is not current, the daemon asks for the engine's report on the same connection, once for each connection. The report names the start time of the process, as the registration does. If another process answers, the endpoint counts as unreachable and the stream goes on at another one of its version. If the engine does not say, a stream that begins out of touch is not recorded and not resumed, and one that would go on out of touch is refused.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -133,6 +133,8 @@
     stage: Stage,
     /// Version of the software that began the stream, if it is known.
     origin: Option<SoftwareVersion>,
+    /// Whether the version of the endpoint that got the last request is certain.
+    origin_certain: bool,
     /// Retry-After to send if the request was rejected as overload.
     retry_after: Option<Duration>,
     /// Version of the configuration that the route comes from.
@@ -196,6 +198,7 @@
         retry_timeout: retry::retry_timeout(route),
         stage: Stage::Continues,
         origin: None,
+        origin_certain: true,
         retry_after: None,
         version: table.version,
         deadline: request.received_at + timeout,
@@ -288,9 +291,15 @@
         self.origin.as_ref().map(drop).ok_or(Reason::NoOrigin)
     }
 
-    /// Records that an endpoint of `version` sent the first event of the stream.
+    /// Returns whether it is known at which version the stream may go on.
+    pub fn has_origin(&self) -> bool {
+        self.origin.is_some()
+    }
+
+    /// Records that an endpoint of `version` sent the first event of the stream, if that is certain:
+    /// without a record a stream is not resumed, with a wrong one two versions are joined.
     pub fn record_origin(&mut self, version: &SoftwareVersion) {
-        if self.origin.is_none() {
+        if self.origin.is_none() && self.origin_certain {
             self.origin = Some(version.clone());
             let (id, window) = (&self.request.metadata.id, self.resume_window());
             self.context.origins.record(id, version, &self.service, window);
--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -6,7 +6,7 @@
 use super::{Context, EndpointResponse, Forwarder, Target};
 use crate::coordinators::BookingGuard;
 use crate::settings::millis;
-use crate::upstream::{self, BufferedRequest, Connection};
+use crate::upstream::{self, BufferedRequest, Connection, Identity};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -39,6 +39,20 @@
     Unresponsive,
 }
 
+/// Why an endpoint must not get a request for a stream.
+#[derive(Debug, thiserror::Error)]
+enum IdentityError {
+    /// The connection failed.
+    #[error("failed to ask the endpoint which process it is: {0}")]
+    Interrupted(#[from] upstream::Error),
+    /// A process with this incarnation answers in place of the registered one.
+    #[error("another process answers, with incarnation {0}")]
+    Replaced(u64),
+    /// The endpoint does not say which process it is, and the view is not current.
+    #[error("the endpoint does not say which process it is, and the view is not current")]
+    Unknown,
+}
+
 /// A request in progress at an endpoint, counted in the endpoint's load until dropped.
 pub struct Exchange {
     context: Arc<Context>,
@@ -144,6 +158,17 @@
             return Err(self.on_withdrawn(&registration));
         }
         let purpose = self.purpose(resume_after);
+        match self.identify(&registration, &mut connection, purpose).await {
+            Ok(certain) => self.origin_certain = certain,
+            Err(IdentityError::Interrupted(_)) if connection.reused => {
+                exchange.cancel();
+                return Err(self.attempt.on_stale_connection(&registration.id));
+            }
+            Err(error) => {
+                exchange.cancel();
+                return Err(self.on_unreachable(&registration, &error.to_string()));
+            }
+        }
         self.context.coordinators.count_sent(&registration.id, purpose);
         self.attempt.on_send();
         exchange.record_sent();
@@ -181,6 +206,47 @@
         self.context.view.with_fleet(|fleet| fleet.accepts(registration, Instant::now()))
     }
 
+    /// Makes sure that a stream goes on, or begins while this daemon is out of touch, only at the
+    /// process that the view names: one that started again under the same id and address may have
+    /// another software version. Returns whether the process is certain.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`IdentityError`] when the endpoint must not get the request.
+    async fn identify(
+        &self,
+        registration: &Registration,
+        connection: &mut Connection,
+        purpose: Purpose,
+    ) -> Result<bool, IdentityError> {
+        let is_current = self.context.view.is_current(Instant::now());
+        let resumable = self.route.kind.is_stream() && self.route.kind.idempotent();
+        if !resumable || (is_current && purpose != Purpose::Resume) {
+            return Ok(true);
+        }
+        let limit = millis(self.context.settings.limits.connect_timeout_ms);
+        let identity = timeout(limit, connection.identify()).await;
+        match identity.unwrap_or(Err(upstream::Error::Unresponsive))? {
+            Identity::Registered => Ok(true),
+            Identity::Other(incarnation) => {
+                metrics::counter!("replaced_endpoints_total").increment(1);
+                Err(IdentityError::Replaced(incarnation))
+            }
+            Identity::Unknown => {
+                metrics::counter!("unidentified_endpoints_total").increment(1);
+                log::info!(
+                    target: "resume", request = self.request.metadata.id.as_str(),
+                    endpoint = registration.id.as_str(), is_current;
+                    "the endpoint does not say which process it is"
+                );
+                match is_current || purpose != Purpose::Resume {
+                    true => Ok(is_current),
+                    false => Err(IdentityError::Unknown),
+                }
+            }
+        }
+    }
+
     /// Records that an endpoint stopped accepting requests after it was chosen.
     fn on_withdrawn(&mut self, registration: &Registration) -> Action {
         metrics::counter!("sends_withdrawn_total").increment(1);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -189,6 +189,9 @@
         // The earlier run must be cancelled before another one starts.
         drop((body, connection));
         exchange.fail();
+        if self.event_forwarded && !self.forwarder.has_origin() {
+            return Err(Reason::Unknown);
+        }
         let preferred = match self.forwarder.on_interrupted(&registration, why).await {
             Action::RetrySame(endpoint) => Some(endpoint),
             Action::RetryAny => None,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -65,6 +65,19 @@
     usable_until: Instant,
     /// Whether the connection has carried an earlier request.
     pub reused: bool,
+    /// Whether the process at the other end is known to be the registered one.
+    verified: bool,
+}
+
+/// Whether the process at the other end of a connection is the registered one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// It is.
+    Registered,
+    /// It is another process, with this incarnation, which uses the same id and address.
+    Other(u64),
+    /// It did not say.
+    Unknown,
 }
 
 impl Drop for Connection {
@@ -74,6 +87,37 @@
 }
 
 impl Connection {
+    /// Asks the process at the other end which incarnation it is, once for each connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when the connection fails.
+    pub async fn identify(&mut self) -> Result<Identity, Error> {
+        if self.verified {
+            return Ok(Identity::Registered);
+        }
+        let request = Request::get(platform::report::PATH)
+            .header(http::header::HOST, "endpoint")
+            .body(Full::default());
+        let Ok(request) = request else {
+            return Ok(Identity::Unknown);
+        };
+        let response = self.send(request).await?;
+        let is_success = response.status().is_success();
+        let body = Limited::new(response.into_body(), platform::report::MAX_BYTES);
+        let Ok(report) = body.collect().await else {
+            return Err(Error::Unsent);
+        };
+        self.sender.ready().await?;
+        let said = platform::report::incarnation(&report.to_bytes()).filter(|_| is_success);
+        self.verified = said == Some(self.incarnation);
+        Ok(match said {
+            Some(said) if said == self.incarnation => Identity::Registered,
+            Some(said) => Identity::Other(said),
+            None => Identity::Unknown,
+        })
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
@@ -141,6 +185,7 @@
             usable_from: now,
             usable_until: now + DEFAULT_IDLE_TIMEOUT,
             reused: false,
+            verified: false,
         })
     }
 
--- a/crates/testing/src/gateway_harness.rs
+++ b/crates/testing/src/gateway_harness.rs
@@ -20,6 +20,8 @@
 pub const HOST: &str = "app.example";
 /// Time limit for waiting on an expected condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+/// Start time of endpoints that did not start again, in milliseconds since the Unix epoch.
+const START_TIME: u64 = 1;
 /// Timeout of one call to the key-value service.
 const KV_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -271,7 +273,7 @@
     ///
     /// Panics if the write fails for longer than [`WAIT_TIMEOUT`].
     pub async fn register(&self, endpoint: &Endpoint, state: &str) {
-        self.register_at(&endpoint.id, "s", endpoint.addr, state).await;
+        self.register_version(endpoint, "v1", state).await;
     }
 
     /// Registers endpoint `id` for `service`, reachable at `addr`.
@@ -280,7 +282,7 @@
     ///
     /// Panics if the write fails for longer than [`WAIT_TIMEOUT`].
     pub async fn register_at(&self, id: &str, service: &str, addr: SocketAddr, state: &str) {
-        let value = registration(service, addr, "v1", state);
+        let value = registration(service, addr, "v1", state, START_TIME);
         self.put(&format!("servers/{id}"), &value).await;
     }
 
@@ -290,7 +292,9 @@
     ///
     /// Panics if the write fails for longer than [`WAIT_TIMEOUT`].
     pub async fn register_version(&self, endpoint: &Endpoint, version: &str, state: &str) {
-        let value = registration("s", endpoint.addr, version, state);
+        let start_time = endpoint.start_time().unwrap_or(START_TIME);
+        endpoint.set_start_time(start_time);
+        let value = registration("s", endpoint.addr, version, state, start_time);
         self.put(&format!("servers/{}", endpoint.id), &value).await;
     }
 
@@ -416,10 +420,16 @@
 }
 
 /// Returns the registration of an endpoint in the platform's format.
-fn registration(service: &str, addr: SocketAddr, version: &str, state: &str) -> Value {
+fn registration(
+    service: &str,
+    addr: SocketAddr,
+    version: &str,
+    state: &str,
+    start_time: u64,
+) -> Value {
     json!({
         "backend": service, "address": addr.to_string(), "zone": "dc-1", "version": version,
-        "slots": 4, "state": state, "call_seq": 1, "born": 1,
+        "slots": 4, "state": state, "call_seq": 1, "born": start_time,
     })
 }
 
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -103,6 +103,10 @@
     /// Task that accepts connections.
     listener: Option<AbortHandle>,
     rate_limit: Option<f64>,
+    /// Start time that the endpoint names in its registration and in its report.
+    start_time: Option<u64>,
+    /// Tasks that serve the open connections.
+    serving: Vec<AbortHandle>,
 }
 
 /// Running scripted endpoint; clones share its state.
@@ -153,6 +157,25 @@
         self.lock().rate_limit = rate_limit;
     }
 
+    /// Sets the start time that the endpoint names, in milliseconds since the Unix epoch; before, its
+    /// report names none.
+    pub fn set_start_time(&self, start_time: u64) {
+        self.lock().start_time = Some(start_time);
+    }
+
+    /// Returns the start time that the endpoint names.
+    pub fn start_time(&self) -> Option<u64> {
+        self.lock().start_time
+    }
+
+    /// Closes all connections and goes on as a process that started at `start_time` under the same id
+    /// and address.
+    pub fn restart(&self, start_time: u64) {
+        let mut state = self.lock();
+        state.serving.drain(..).for_each(|connection| connection.abort());
+        state.start_time = Some(start_time);
+    }
+
     /// Returns the requests that were run, in order.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
@@ -173,16 +196,24 @@
         while let Ok((stream, _)) = listener.accept().await {
             self.lock().connections += 1;
             let endpoint = self.clone();
-            tokio::spawn(async move {
+            let serving = tokio::spawn(async move {
                 // Connection errors are an expected part of the scripts.
                 let _ = endpoint.serve(stream).await;
             });
+            let mut state = self.lock();
+            state.serving.retain(|connection| !connection.is_finished());
+            state.serving.push(serving.abort_handle());
         }
     }
 
     async fn serve(self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(run) = read_request(&mut stream, &mut buffer).await? {
+            if run.request_line.starts_with("GET /api/report ") {
+                let report = serde_json::json!({ "queued": 0, "born": self.start_time() });
+                stream.write_all(&complete_response(&run.id, 200, &report.to_string())).await?;
+                continue;
+            }
             let behaviour = {
                 let mut state = self.lock();
                 let behaviour = state.script.pop_front().or(state.default.clone());
