Count the time that an update waited as age of the view

A daemon that was paused reads the updates that waited in its socket when it wakes. Each states the age of the sender's view when it was sent, so for a moment the view looked current. Updates now state the sender's time too, and what one took longer than the fastest update of its sender counts as age.

A watch call waits 1 s instead of 0.7 s, which costs fewer calls; the age of a healthy delegate's view stays below the 1.5 s up to which it is current.

Evidence: an_update_that_waited_is_as_old_as_its_wait.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use crate::draws::Draw;
 use crate::origins::Origins;
 use crate::view::{Cursor, Update, View};
-use peer::gateway::{Command, Response};
+use peer::gateway::{Command, Response, Stamp};
 use peer::server::ReplySender;
 use peer::wire::{Reply, Request};
 use std::sync::Arc;
@@ -101,13 +101,15 @@
 
 async fn send_updates(mut cursor: Cursor, sender: ReplySender, view: Arc<View>) {
     let mut changes = view.subscribe();
+    let began_at = Instant::now();
     loop {
         changes.mark_unchanged();
         // What is read after the age is at least as new.
-        let age = view.age(Instant::now());
+        let now = Instant::now();
+        let stamp = Stamp { age: view.age(now), sent: now.duration_since(began_at) };
         let response = match view.next_update(&mut cursor) {
-            Update::View(view) => Response::View { view: Box::new(view), age },
-            Update::Changes(changes) => Response::Changes { changes: Box::new(changes), age },
+            Update::View(view) => Response::View { view: Box::new(view), stamp },
+            Update::Changes(changes) => Response::Changes { changes: Box::new(changes), stamp },
         };
         if sender.send(Reply::Gateway(response)).await.is_err() {
             return;
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -23,7 +23,7 @@
 use platform::kv::{Client, Entry, Error, Event, Listing};
 use platform::{config, registry};
 use sched::fleet::Registration;
-use sched::freshness::{self, Role};
+use sched::freshness::{self, Role, Transit};
 use sched::id::VmId;
 use sched::term::TermView;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -34,8 +34,8 @@
 /// Prefix that covers both registrations and members, whose keys have the same first letter.
 const DIRECTORY_PREFIX: &str = "s";
 /// Time for which a watch call waits for changes. A view that is confirmed by a watch without changes
-/// is at most this old, which must be well below [`freshness::MAX_AGE`].
-const WATCH_WAIT: Duration = Duration::from_millis(700);
+/// is at most about this old, which must be well below [`freshness::MAX_AGE`].
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Minimum pause before a failed watch is retried.
 const MIN_RETRY: Duration = Duration::from_millis(150);
 /// Maximum pause before a delegate retries a failed watch.
@@ -438,6 +438,7 @@
             self.budgets.peers().disconnect(addr);
             return;
         };
+        let mut transit = Transit::default();
         loop {
             let Ok(Ok(Some(Reply::Gateway(response)))) =
                 timeout(SUBSCRIPTION_TIMEOUT, replies.next()).await
@@ -447,14 +448,14 @@
             };
             let now = Instant::now();
             self.sync_status.record_peer_update(now);
-            let age = match response {
-                Response::View { view, age } => {
+            let stamp = match response {
+                Response::View { view, stamp } => {
                     self.view.merge(*view, now);
-                    age
+                    stamp
                 }
-                Response::Changes { changes, age } => {
+                Response::Changes { changes, stamp } => {
                     self.view.merge_changes(*changes, now);
-                    age
+                    stamp
                 }
                 Response::Pending
                 | Response::Reserved(_)
@@ -464,8 +465,12 @@
                 | Response::Origin(_)
                 | Response::Noted => return,
             };
-            match age.filter(|age| freshness::is_current(Some(*age))) {
+            let delay = transit.delay(stamp.sent, now);
+            let age = stamp.age.map(|age| age + delay);
+            match age.filter(|_| freshness::is_current(age)) {
                 Some(age) => self.view.confirm_by_peer(age, now),
+                // The updates that wait behind a delayed one are newer.
+                None if freshness::is_current(stamp.age) => {}
                 None => return,
             }
         }
--- a/crates/peer/src/gateway.rs
+++ b/crates/peer/src/gateway.rs
@@ -77,6 +77,15 @@
     pub revision: u64,
 }
 
+/// Age of the view that an update comes from, see [`sched::freshness`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Age of the sender's view; `None` if it was never confirmed.
+    pub age: Option<Duration>,
+    /// Time since the sender's subscription began.
+    pub sent: Duration,
+}
+
 /// Settlement of a finished turn with the owner of its program's budget.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Settlement {
@@ -197,15 +206,15 @@
     View {
         /// The view.
         view: Box<View>,
-        /// Age of the sender's view, see [`sched::freshness`].
-        age: Option<Duration>,
+        /// Age of the sender's view.
+        stamp: Stamp,
     },
     /// Changes since the previous frame; also sent at intervals while nothing changes, so that the
     /// subscriber notices when the sender fails.
     Changes {
         /// The changes.
         changes: Box<Changes>,
-        /// Age of the sender's view, see [`sched::freshness`].
-        age: Option<Duration>,
+        /// Age of the sender's view.
+        stamp: Stamp,
     },
 }
--- a/crates/sched/src/freshness.rs
+++ b/crates/sched/src/freshness.rs
@@ -12,7 +12,9 @@
 //! the view does not exist. A request is never refused only because the view is old: during an
 //! outage of the service, an old view is the best there is.
 //!
-//! The age of an update does not include the time that it spent in the network.
+//! An update may have waited long before it is read, for example in the socket of a daemon that was
+//! paused. [`Transit`] tells by how much longer than the fastest update of the same sender, and that
+//! counts as age too.
 
 use std::time::{Duration, Instant};
 
@@ -62,6 +64,29 @@
     age.is_some_and(|age| age <= MAX_AGE)
 }
 
+/// Tells how long the updates of one sender were on their way, compared with the fastest one.
+///
+/// Each update states the sender's time, counted from any point; so the clocks need not agree.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Transit {
+    /// Sender's and receiver's time of the fastest update so far.
+    reference: Option<(Duration, Instant)>,
+}
+
+impl Transit {
+    /// Returns by how much longer an update that was sent at `sent` and is read at `now` was on its
+    /// way than the fastest one.
+    pub fn delay(&mut self, sent: Duration, now: Instant) -> Duration {
+        let (sent_before, read_before) = *self.reference.get_or_insert((sent, now));
+        let sender = sent.saturating_sub(sent_before);
+        let receiver = now.saturating_duration_since(read_before);
+        if receiver < sender {
+            self.reference = Some((sent, now));
+        }
+        receiver.saturating_sub(sender)
+    }
+}
+
 /// A daemon's place among the delegates, which watch the key-value service for the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
--- a/crates/sched/tests/freshness.rs
+++ b/crates/sched/tests/freshness.rs
@@ -1,6 +1,6 @@
 //! Ages of views, and the choice of the peers that news comes from.
 
-use sched::freshness::{Freshness, MAX_AGE, Role, choose_delegate, is_current};
+use sched::freshness::{Freshness, MAX_AGE, Role, Transit, choose_delegate, is_current};
 use std::time::{Duration, Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -53,6 +53,27 @@
         assert_eq!(confirmed(now).or(Freshness::default()).age(now), Some(Duration::ZERO));
     }
 
+    // Guards against a daemon that wakes, reads the updates that waited for it, and trusts its view.
+    an_update_that_waited_is_as_old_as_its_wait(now) {
+        let mut transit = Transit::default();
+        let millis = Duration::from_millis;
+        assert_eq!(transit.delay(millis(0), now), Duration::ZERO);
+        assert_eq!(transit.delay(millis(300), now + millis(301)), millis(1));
+        // It stands still until 3,300 ms, and then reads what was sent meanwhile.
+        let woken = now + millis(3_300);
+        assert_eq!(transit.delay(millis(600), woken), millis(2_700));
+        assert_eq!(transit.delay(millis(3_000), woken), millis(300));
+        assert_eq!(transit.delay(millis(3_300), woken + millis(1)), millis(1));
+    }
+
+    a_slow_first_update_is_no_measure_for_the_others(now) {
+        let mut transit = Transit::default();
+        let millis = Duration::from_millis;
+        assert_eq!(transit.delay(millis(0), now + millis(500)), Duration::ZERO);
+        assert_eq!(transit.delay(millis(300), now + millis(310)), Duration::ZERO);
+        assert_eq!(transit.delay(millis(600), now + millis(1_100)), millis(490));
+    }
+
     two_subscriptions_never_use_one_delegate(_now) {
         for number in 0..40 {
             for failures in 0..7 {
