Send no requests to endpoints that say in a response that they leave

What callers saw: an engine says in all its responses that it leaves (Server-Leaving), and nothing read it.

Change: the header is decoded in platform/ and noted on the connection, which all responses pass: of requests, streams, refusals and reports. Fleet remembers for an hour which process said so, next to what the registration says, and Fleet::accepts, which is asked right before each request is sent, refuses it until a newer process is registered. So placement, bookings, sessions, retries, resumed streams and calls of tools obey it. Coordinators learn of it through the list of endpoints to avoid that comes with each booking. It is not passed on otherwise: an engine that leaves goes on serving for a while, and a header that is false would else take an engine away from all daemons. A 421 comes from another endpoint and says nothing here.

One log line (target leaving) for each process, counter leaving_endpoints_total; sends_withdrawn_total counts what was turned away.

--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -24,8 +24,6 @@
 /// Time after sending within which a lost connection counts as reset by an endpoint that is down;
 /// no endpoint runs a request that fast.
 const RESET_WINDOW: Duration = Duration::from_millis(20);
-/// HTTP status by which an endpoint says that the request is meant for another endpoint.
-const MISDIRECTED: u16 = 421;
 /// Time without data from an endpoint after which the end of an exchange counts as a failure of the
 /// endpoint.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -152,11 +150,6 @@
             Some(request) => request,
             None => return Err(self.on_unreachable(&registration, "failed to build the request")),
         };
-        // The endpoint may have been chosen a while ago, and by another daemon.
-        if !self.accepts_now(&registration) {
-            exchange.cancel();
-            return Err(self.on_withdrawn(&registration));
-        }
         let purpose = self.purpose(resume_after);
         match self.identify(&registration, &mut connection, purpose).await {
             Ok(certain) => self.origin_certain = certain,
@@ -169,12 +162,19 @@
                 return Err(self.on_unreachable(&registration, &error.to_string()));
             }
         }
+        self.note_leaving(&registration, &connection);
+        // The endpoint may have been chosen a while ago, and by another daemon.
+        if !self.accepts_now(&registration) {
+            exchange.cancel();
+            return Err(self.on_withdrawn(&registration));
+        }
         self.context.coordinators.count_sent(&registration.id, purpose);
         self.attempt.on_send();
         exchange.record_sent();
         let sent_at = Instant::now();
-        let error = match self.wait_for_head(&registration, queued, connection.send(request)).await
-        {
+        let head = self.wait_for_head(&registration, queued, connection.send(request)).await;
+        self.note_leaving(&registration, &connection);
+        let error = match head {
             Some(Ok(Ok(response))) => {
                 if purpose == Purpose::Resume {
                     self.log_resumed(&registration, resume_after);
@@ -247,6 +247,26 @@
         }
     }
 
+    /// Records that an endpoint leaves, if it said so on this connection.
+    fn note_leaving(&self, registration: &Registration, connection: &Connection) {
+        let news = connection.leaving
+            && self
+                .context
+                .view
+                .with_fleet(|fleet| fleet.record_leaving(registration, Instant::now()));
+        if news {
+            metrics::counter!("leaving_endpoints_total").increment(1);
+            log::info!(
+                target: "leaving",
+                request = self.request.metadata.id.as_str(),
+                endpoint = registration.id.as_str(),
+                incarnation = registration.incarnation,
+                revision = self.context.view.revision();
+                "the endpoint said in a response that it leaves"
+            );
+        }
+    }
+
     /// Records that an endpoint stopped accepting requests after it was chosen.
     fn on_withdrawn(&mut self, registration: &Registration) -> Action {
         metrics::counter!("sends_withdrawn_total").increment(1);
@@ -395,7 +415,7 @@
             let now = Instant::now();
             let view = &self.context.view;
             self.log_failure(&registration, "the endpoint did not run the request");
-            if status == MISDIRECTED {
+            if status == header::MISDIRECTED {
                 view.with_fleet(|fleet| fleet.record_failure(&registration.id, now));
                 return Err(self.attempt.on_gone(&registration.id));
             }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
+use platform::header;
 use sched::fleet::Registration;
 use sched::id::EndpointId;
 use socket2::{SockRef, TcpKeepalive};
@@ -67,6 +68,8 @@
     pub reused: bool,
     /// Whether the process at the other end is known to be the registered one.
     verified: bool,
+    /// Whether the process at the other end said in a response that it leaves.
+    pub leaving: bool,
 }
 
 /// Whether the process at the other end of a connection is the registered one.
@@ -125,10 +128,12 @@
     /// Returns [`Error::Unsent`] when no byte was sent, else [`Error::Interrupted`].
     pub async fn send(&mut self, request: BufferedRequest) -> Result<Response<Incoming>, Error> {
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => Error::Unsent,
             None => Error::Interrupted(error.into_error()),
-        })
+        })?;
+        self.leaving |= header::is_leaving(response.status().as_u16(), response.headers());
+        Ok(response)
     }
 }
 
@@ -186,6 +191,7 @@
             usable_until: now + DEFAULT_IDLE_TIMEOUT,
             reused: false,
             verified: false,
+            leaving: false,
         })
     }
 
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -31,6 +31,9 @@
 /// Time for which an endpoint is held back until its version is announced. Beyond it, requests matter
 /// more than streams that go on after the loss of all daemons.
 const MAX_HOLD: Duration = Duration::from_secs(3);
+/// Time for which it is remembered which process of an endpoint said that it leaves; longer than
+/// endpoints take to leave.
+const LEAVING_RETENTION: Duration = Duration::from_secs(3_600);
 /// Time for which an endpoint that left is remembered; longer than another daemon's view may be out
 /// of date without that daemon noticing.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(10);
@@ -84,6 +87,8 @@
     deregistered_at: Option<Instant>,
     /// Time until which it gets no requests because its version is not announced.
     held_until: Option<Instant>,
+    /// Whether this process of the endpoint said in a response that it leaves.
+    leaving: bool,
 }
 
 impl Endpoint {
@@ -91,7 +96,7 @@
         let available =
             self.deregistered_at.is_none_or(|at| now.duration_since(at) < DEREGISTRATION_GRACE);
         let held = self.held_until.is_some_and(|until| now < until);
-        available && !held && self.registration.state == State::Ready
+        available && !held && !self.leaving && self.registration.state == State::Ready
     }
 
     fn ejected(&self, now: Instant) -> bool {
@@ -136,6 +141,16 @@
     services: IndexMap<ServiceId, IndexSet<EndpointId>>,
     /// Endpoints that were removed because their registrations disappeared.
     departed: IndexMap<EndpointId, Departure>,
+    /// Processes that said that they leave, by endpoint. It holds whether or not the endpoint is
+    /// registered: a registration may expire and come back meanwhile.
+    leaving: IndexMap<EndpointId, Leaving>,
+}
+
+/// A process that said that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    incarnation: u64,
+    said_at: Instant,
 }
 
 /// An endpoint that left, remembered for a while.
@@ -168,11 +183,29 @@
             full_until: None,
             deregistered_at: None,
             held_until: None,
+            leaving: self
+                .leaving
+                .get(&registration.id)
+                .is_some_and(|leaving| leaving.incarnation == registration.incarnation),
             registration,
         };
         self.endpoints.insert(endpoint.registration.id.clone(), endpoint);
     }
 
+    /// Records that a process of an endpoint said in a response that it leaves. From then on, this
+    /// daemon sends it no requests, whatever its registration says. Returns whether that is news.
+    pub fn record_leaving(&mut self, registration: &Registration, now: Instant) -> bool {
+        let Registration { id, incarnation, .. } = registration;
+        let leaving = Leaving { incarnation: *incarnation, said_at: now };
+        let previous = self.leaving.insert(id.clone(), leaving);
+        if let Some(endpoint) = self.endpoints.get_mut(id)
+            && endpoint.registration.incarnation == *incarnation
+        {
+            endpoint.leaving = true;
+        }
+        previous.is_none_or(|previous| previous.incarnation != *incarnation)
+    }
+
     /// Holds back the endpoints whose versions `register` does not list, see [`crate::versions`].
     pub fn hold_unannounced(&mut self, register: &Register, now: Instant) {
         for endpoint in self.endpoints.values_mut() {
@@ -230,6 +263,7 @@
                 self.departed.insert(id, Departure { service, removed_at: now });
             }
         }
+        self.leaving.retain(|_, leaving| now.duration_since(leaving.said_at) < LEAVING_RETENTION);
         self.departed
             .retain(|_, departure| now.duration_since(departure.removed_at) < DEPARTURE_RETENTION);
     }
--- a/crates/sched/tests/fleet.rs
+++ b/crates/sched/tests/fleet.rs
@@ -117,6 +117,32 @@
         assert!(fleet.withdrawn("s", now + Duration::from_secs(13)).is_empty());
     }
 
+    a_process_that_leaves_gets_nothing_whatever_its_registration_says(now) {
+        let mut fleet = fleet(&["a", "b"]);
+        let leaving = registration("a", "here", 1);
+        assert!(fleet.record_leaving(&leaving, now));
+        assert!(!fleet.record_leaving(&leaving, now), "no news");
+        assert!(!fleet.accepts(&leaving, now));
+        assert_eq!(fleet.withdrawn("s", now), ["a"]);
+        fleet.register(leaving.clone());
+        assert!(!fleet.accepts(&leaving, now), "it is still registered as ready");
+        fleet.deregister("a", now);
+        fleet.sweep(now + Duration::from_secs(20));
+        fleet.register(leaving.clone());
+        assert!(!fleet.accepts(&leaving, now), "its registration came back");
+        let next = registration("a", "here", 2);
+        fleet.register(next.clone());
+        assert!(fleet.accepts(&next, now), "the next process");
+    }
+
+    what_an_earlier_process_said_does_not_concern_the_present_one(now) {
+        let mut fleet = fleet(&["a"]);
+        let next = registration("a", "here", 2);
+        fleet.register(next.clone());
+        fleet.record_leaving(&registration("a", "here", 1), now);
+        assert!(fleet.accepts(&next, now));
+    }
+
     a_new_incarnation_starts_without_history(now) {
         let mut fleet = fleet(&["a", "b"]);
         let previous = registration("a", "here", 1);
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -103,6 +103,7 @@
     /// Task that accepts connections.
     listener: Option<AbortHandle>,
     rate_limit: Option<f64>,
+    leaving: bool,
     /// Start time that the endpoint names in its registration and in its report.
     start_time: Option<u64>,
     /// Tasks that serve the open connections.
@@ -157,6 +158,11 @@
         self.lock().rate_limit = rate_limit;
     }
 
+    /// Sets whether the endpoint says in each response that it leaves. It goes on serving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
     /// Sets the start time that the endpoint names, in milliseconds since the Unix epoch; before, its
     /// report names none.
     pub fn set_start_time(&self, start_time: u64) {
@@ -173,6 +179,7 @@
     pub fn restart(&self, start_time: u64) {
         let mut state = self.lock();
         state.serving.drain(..).for_each(|connection| connection.abort());
+        state.leaving = false;
         state.start_time = Some(start_time);
     }
 
@@ -211,7 +218,8 @@
         while let Some(run) = read_request(&mut stream, &mut buffer).await? {
             if run.request_line.starts_with("GET /api/report ") {
                 let report = serde_json::json!({ "queued": 0, "born": self.start_time() });
-                stream.write_all(&complete_response(&run.id, 200, &report.to_string())).await?;
+                let report = complete_response(&run.id, 200, &report.to_string());
+                self.send(&mut stream, &report).await?;
                 continue;
             }
             let behaviour = {
@@ -322,17 +330,27 @@
     }
 
     async fn send(&self, stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<bool> {
-        stream.write_all(&self.with_rate_limit(bytes)).await?;
+        stream.write_all(&self.with_own_headers(bytes)).await?;
         Ok(true)
     }
 
-    /// Returns `response` with the endpoint's rate limit, if it names one, as the first header.
-    fn with_rate_limit(&self, response: &[u8]) -> Vec<u8> {
-        let rate_limit = self.lock().rate_limit;
+    /// Returns `response` with the headers that the endpoint sends in each response: its rate limit,
+    /// if it names one, and that it leaves, if it does.
+    fn with_own_headers(&self, response: &[u8]) -> Vec<u8> {
+        let mut headers = String::new();
+        {
+            let state = self.lock();
+            if let Some(rate_limit) = state.rate_limit {
+                headers += &format!("Server-Limit: {rate_limit}\r\n");
+            }
+            if state.leaving {
+                headers += "Server-Leaving: 1\r\n";
+            }
+        }
         let status_line = response.iter().position(|byte| *byte == b'\n').map(|end| end + 1);
         let mut response = response.to_vec();
-        if let (Some(rate_limit), Some(end)) = (rate_limit, status_line) {
-            response.splice(end..end, format!("Server-Limit: {rate_limit}\r\n").into_bytes());
+        if let Some(end) = status_line {
+            response.splice(end..end, headers.into_bytes());
         }
         response
     }
