--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -50,6 +50,8 @@
         /// Time between two events.
         gap: Duration,
     },
+    /// Sends a response without a length or chunks, which ends with its connection.
+    Unframed(Unframed),
     /// Refuses the request with status 503 and a header saying that it was not run.
     Full,
     /// Refuses the request with status 421 and the id of another endpoint.
@@ -78,6 +80,38 @@
     Reset,
 }
 
+/// Response without a length or chunks, which ends with its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unframed {
+    /// HTTP version in the status line.
+    pub http: &'static str,
+    /// Number of the last event of a stream; `None` sends a plain body.
+    pub events: Option<u64>,
+    /// Number of bytes that are left out at the end of the body.
+    pub missing: usize,
+    /// Whether the connection is reset instead of closed.
+    pub reset: bool,
+}
+
+impl Unframed {
+    /// Returns the body that follows event `after`, without the bytes that are left out.
+    fn body(&self, after: u64) -> String {
+        let Some(events) = self.events else {
+            return "served"[..6 - self.missing].to_owned();
+        };
+        let body: String = (after + 1..=events).map(event).collect();
+        let length = body.len().saturating_sub(self.missing);
+        body.get(..length)
+            .map(str::to_owned)
+            .unwrap_or_else(|| String::from_utf8_lossy(&body.as_bytes()[..length]).into_owned())
+    }
+}
+
+/// Returns event number `id` of a stream.
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: part {id}\n\n")
+}
+
 /// Request that was run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -272,6 +306,26 @@
                 self.stop();
                 keep_alive
             }
+            Behaviour::Unframed(unframed) => {
+                let last = run.headers.get("last-event-id").and_then(|id| id.parse().ok());
+                let kind =
+                    if unframed.events.is_some() { "text/event-stream" } else { "text/plain" };
+                let response = format!(
+                    "{} 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: sig.{}\r\n\
+                     Content-Type: {kind}\r\n\r\n{}",
+                    unframed.http,
+                    run.id,
+                    run.id,
+                    unframed.body(last.unwrap_or(0))
+                );
+                self.send(stream, response.as_bytes()).await?;
+                if unframed.reset {
+                    // The reader has what was sent before the reset.
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
+                }
+                Ok(false)
+            }
             Behaviour::Full => {
                 self.send(stream, &refusal(&run.id, 503, "Not-Executed: 1\r\n")).await
             }
@@ -405,7 +459,7 @@
             if self.closed_within(stream, run, gap).await? {
                 return Ok(false);
             }
-            let event = format!("id: {id}\ndata: part {id}\n\n");
+            let event = event(id);
             if breaks_after == Some(sent as u64) {
                 let half = &event[..event.len() / 2];
                 stream.write_all(chunk(half).as_bytes()).await?;
