Ignore listings and changes that are older than the view

A listing that was under way while newer changes arrived replaced them, and a watch that began at it applied older changes once more (seen while reading by the review, not shown there). An endpoint that drains was ready again until the next change. Both calls compare the revision with that of the view, under its lock; changes that overlap known ones still apply, as they end in the newer state.

Evidence: a_late_listing_takes_back_newer_changes and a_late_watch_takes_back_newer_changes failed before and pass now.

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -323,10 +323,13 @@
     }
 
     /// Applies changes, after which the view is current up to `revision`.
+    ///
+    /// Changes that the view has already are ignored, unless newer ones follow.
     pub fn apply(&self, changes: Vec<Change>, revision: u64, now: Instant) {
         {
             let mut state = self.lock();
             state.fleet.sweep(now);
+            let changes = if revision < state.revision { Vec::new() } else { changes };
             for change in changes {
                 state.record_change(change.clone());
                 apply(&mut state, change, now);
@@ -337,7 +340,8 @@
         self.notify();
     }
 
-    /// Replaces the registrations and the members with a listing made at `revision`.
+    /// Replaces the registrations and the members with a listing made at `revision`, unless the view
+    /// is newer.
     pub fn replace(
         &self,
         registrations: Vec<Registration>,
@@ -349,6 +353,9 @@
     ) {
         {
             let mut state = self.lock();
+            if revision < state.revision {
+                return;
+            }
             let present: IndexSet<EndpointId> =
                 registrations.iter().map(|registration| registration.id.clone()).collect();
             for registration in registrations {
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -51,6 +51,33 @@
         assert_eq!(changes.revision, 22);
     }
 
+    // Guards against a listing that was under way while newer changes arrived, and takes them back.
+    a_late_listing_takes_back_newer_changes {
+        let view = view_of(9, 20);
+        view.apply(vec![Change::Left("vm-1".into())], 22, Instant::now());
+        let members = (0..9).map(|number| member(&format!("vm-{number}"))).collect();
+        let (terms, versions) = Default::default();
+        view.replace(Vec::new(), members, terms, versions, 21, Instant::now());
+        assert!(!view.with_members(|live| live.contains_key("vm-1")));
+        assert_eq!(view.revision(), 22);
+    }
+
+    // Guards against the same by a watch that began at such a listing.
+    a_late_watch_takes_back_newer_changes {
+        let view = view_of(9, 20);
+        view.apply(vec![Change::Left("vm-1".into())], 22, Instant::now());
+        view.apply(vec![Change::Joined(member("vm-1"))], 21, Instant::now());
+        assert!(!view.with_members(|live| live.contains_key("vm-1")));
+        // Changes that overlap those already known lead to the same view.
+        let changes = vec![
+            Change::Joined(member("vm-1")),
+            Change::Left("vm-1".into()),
+            Change::Left("vm-2".into()),
+        ];
+        view.apply(changes, 23, Instant::now());
+        assert_eq!(view.with_members(|live| live.len()), 7);
+    }
+
     a_subscriber_with_an_older_view_gets_the_whole_view {
         let update = view_of(9, 20).next_update(&mut Cursor::new(None, 19));
         assert!(matches!(update, Update::View(_)));
