Report the age of the view

The gauge view_age_ms and a log line (target platform, is_current) say when a daemon's view becomes current or ceases to be, which the postmortems of late news needed. Updates are boxed, as they have grown.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -174,6 +174,7 @@
         context.origins.sweep(now);
         context.coordinators.log_limited();
         context.view.with_fleet(|fleet| fleet.sweep(now));
+        context.view.report_age(now);
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -108,8 +108,8 @@
         let now = Instant::now();
         let stamp = Stamp { age: view.age(now), sent: now.duration_since(began_at) };
         let response = match view.next_update(&mut cursor) {
-            Update::View(view) => Response::View { view: Box::new(view), stamp },
-            Update::Changes(changes) => Response::Changes { changes: Box::new(changes), stamp },
+            Update::View(view) => Response::View { view, stamp },
+            Update::Changes(changes) => Response::Changes { changes, stamp },
         };
         if sender.send(Reply::Gateway(response)).await.is_err() {
             return;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -58,6 +58,8 @@
     configuration_watch: Freshness,
     directory_watch: Freshness,
     peers: Freshness,
+    /// Whether the view was current when that was last reported.
+    reported_current: bool,
 }
 
 impl Sources {
@@ -139,9 +141,9 @@
 /// Update that is sent to a subscriber.
 pub enum Update {
     /// The whole view.
-    View(Exported),
+    View(Box<Exported>),
     /// The changes since the previous update.
-    Changes(Changes),
+    Changes(Box<Changes>),
 }
 
 impl Default for View {
@@ -186,6 +188,28 @@
         self.sources().freshness().is_current(now)
     }
 
+    /// Reports the age of the view as a metric, and logs when it becomes current or ceases to be.
+    pub fn report_age(&self, now: Instant) {
+        let (age, is_current, changed) = {
+            let mut sources = self.sources();
+            let freshness = sources.freshness();
+            let is_current = freshness.is_current(now);
+            let changed = sources.reported_current != is_current;
+            sources.reported_current = is_current;
+            (freshness.age(now), is_current, changed)
+        };
+        if let Some(age) = age {
+            metrics::gauge!("view_age_ms").set(age.as_millis() as f64);
+        }
+        if changed {
+            let age_ms = age.map(|age| age.as_millis() as u64);
+            log::info!(
+                target: "platform", is_current, age_ms, revision = self.revision();
+                "the view became current or ceased to be"
+            );
+        }
+    }
+
     /// Returns whether this daemon's own watches keep the view current.
     pub fn is_current_by_watch(&self, now: Instant) -> bool {
         let Sources { configuration_watch, directory_watch, .. } = *self.sources();
@@ -428,16 +452,16 @@
         match offset {
             Some(offset) => {
                 let changes = state.recent_changes.iter().skip(offset as usize).cloned().collect();
-                Update::Changes(Changes { table, changes, revision })
+                Update::Changes(Box::new(Changes { table, changes, revision }))
             }
-            None => Update::View(Exported {
+            None => Update::View(Box::new(Exported {
                 table,
                 registrations: state.fleet.registrations(),
                 members: state.members.values().cloned().collect(),
                 terms: state.terms.clone(),
                 versions: (state.versions.clone(), state.versions_revision),
                 revision,
-            }),
+            })),
         }
     }
 
