Keep the budget records of programs in use

A program that goes on within what was drawn, and then loses its owner, would meet an owner that takes the missing record for one that never was, and could draw its budget again.

Change: an owner writes the record of a program in use again once it is as old as the program's retention, also of a stopped program that returns. Programs that end within their retention cost no write. The flag travels with the account.

Evidence: an_owner_keeps_the_record_of_a_program_in_use, an_owner_that_took_over_keeps_the_record (new calls, so they could not run before).

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -170,6 +170,7 @@
         }
         context.pool.sweep(now);
         context.budgets.sweep(now);
+        tokio::spawn(context.budgets.clone().keep_records());
         context.coordinators.sweep(now);
         context.origins.sweep(now);
         context.coordinators.log_limited();
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -326,6 +326,23 @@
         self.ledger().settle(program, request, daemon, *handed_out);
     }
 
+    /// Writes the records of programs in use again before they expire.
+    pub async fn keep_records(self: Arc<Self>) {
+        let due = self.ledger().due_records(Instant::now());
+        for (program, retention) in due {
+            let keep = |found: Option<Record>, _: &TermView| {
+                found.map(|record| spend::record_kept(&record, retention, unix_ms()))
+            };
+            if let Err(error) = self.records.update(&program, keep).await {
+                log::info!(
+                    target: "budget", program = program.as_str();
+                    "failed to keep the budget record, will retry: {error}"
+                );
+                self.ledger().retry_record(&program);
+            }
+        }
+    }
+
     /// Deletes expired durable records if this daemon is the first delegate.
     pub async fn delete_expired(&self) {
         let first = self.view.with_members(|live| members::delegates(live).into_iter().next());
--- a/crates/sched/src/spend.rs
+++ b/crates/sched/src/spend.rs
@@ -182,6 +182,8 @@
     allowed: Tokens,
     /// Whether a turn was refused, which stops the program.
     stopped: bool,
+    /// Whether the program has a durable record.
+    recorded: bool,
     retention: Duration,
 }
 
@@ -271,6 +273,8 @@
     /// Last term when this process opened or took over the account.
     known_since: term::Number,
     last_used: Instant,
+    /// Time at which this process last wrote the program's record.
+    record_written_at: Option<Instant>,
 }
 
 impl Account {
@@ -383,6 +387,12 @@
     }
 }
 
+/// Returns a record that is kept for `retention` from now on, or as long as before if that is longer.
+pub fn record_kept(record: &Record, retention: Duration, now_ms: u64) -> Record {
+    let keep_until_ms = record.keep_until_ms.max(now_ms + retention.as_millis() as u64);
+    Record { keep_until_ms, ..record.clone() }
+}
+
 fn keep_until_ms(request: &ReservationRequest, now_ms: u64) -> u64 {
     now_ms + request.retention.as_millis() as u64
 }
@@ -492,12 +502,14 @@
                 lost: 0,
                 allowed: share_tokens,
                 stopped: false,
+                recorded: false,
                 retention: request.retention,
             },
             reservations: IndexMap::new(),
             pending_draw: None,
             known_since: allowance.term,
             last_used: now,
+            record_written_at: None,
         });
         account.last_used = now;
         account.charge_expired(now);
@@ -508,6 +520,8 @@
         let committed = account.spent() + account.reserved() + request.max_tokens;
         if committed > account.state.budget {
             account.state.stopped = true;
+            account.state.recorded = true;
+            account.record_written_at = Some(now);
             return ReserveOutcome::NewlyExhausted;
         }
         if committed > account.state.allowed {
@@ -592,6 +606,7 @@
             pending_draw: None,
             known_since: current_term,
             last_used: now,
+            record_written_at: None,
         };
         self.accounts.insert(program, account);
     }
@@ -601,7 +616,9 @@
         if let Some(account) = self.accounts.get_mut(program) {
             account.state.allowed += tokens;
             account.state.share_tokens = 0;
+            account.state.recorded = true;
             account.pending_draw = None;
+            account.record_written_at = Some(account.last_used);
         }
     }
 
@@ -609,6 +626,33 @@
     pub fn mark_exhausted(&mut self, program: &str) {
         if let Some(account) = self.accounts.get_mut(program) {
             account.state.stopped = true;
+            account.state.recorded = true;
+        }
+    }
+
+    /// Returns the programs in use whose records would expire soon, with their retention.
+    ///
+    /// The caller writes the records again ([`record_kept`]): a record that is deleted while its
+    /// program still runs would be taken for one that never was. Programs that end within their
+    /// retention cost no write.
+    pub fn due_records(&mut self, now: Instant) -> Vec<(ProgramId, Duration)> {
+        let mut due = Vec::new();
+        for (program, account) in self.accounts.iter_mut().filter(|(_, found)| found.state.recorded)
+        {
+            let retention = account.state.retention;
+            let written = account.record_written_at;
+            if written.is_none_or(|at| now.saturating_duration_since(at) >= retention) {
+                account.record_written_at = Some(now);
+                due.push((program.clone(), retention));
+            }
+        }
+        due
+    }
+
+    /// Records that the record of a program could not be written.
+    pub fn retry_record(&mut self, program: &str) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.record_written_at = None;
         }
     }
 
--- a/crates/sched/tests/spend.rs
+++ b/crates/sched/tests/spend.rs
@@ -245,6 +245,41 @@
         assert!(allocator.may_use_share("p", allowance(ALLOCATOR)));
     }
 
+    // Guards against draws that are forgotten with their record while the program still runs.
+    an_owner_keeps_the_record_of_a_program_in_use {
+        let (mut ledger, mut record) = (Ledger::default(), None);
+        let start = Instant::now();
+        spend_all_by(run_as_other, &mut ledger, &mut record, "a", 100);
+        assert_eq!(ledger.due_records(start + RETENTION / 2), []);
+        let due = ledger.due_records(start + RETENTION * 2);
+        assert_eq!(due, [("p".into(), RETENTION)]);
+        assert_eq!(ledger.due_records(start + RETENTION * 2), [], "it is being written");
+        ledger.retry_record("p");
+        assert_eq!(ledger.due_records(start + RETENTION * 2).len(), 1, "the write failed");
+        let kept = spend::record_kept(record.as_ref().expect("a record"), RETENTION, 500_000);
+        assert_eq!(kept.keep_until_ms, 500_000 + 60_000);
+        let later = spend::record_kept(&kept, RETENTION, 400_000);
+        assert_eq!(later, kept, "a record is never kept for less time");
+    }
+
+    a_program_without_a_record_costs_no_write {
+        let mut ledger = Ledger::default();
+        assert!(run_as_allocator(&mut ledger, &mut None, &reservation("r-1", "a", 0)));
+        assert_eq!(ledger.due_records(Instant::now() + RETENTION * 2), []);
+    }
+
+    an_owner_that_took_over_keeps_the_record {
+        let (mut former, mut record) = (Ledger::default(), None);
+        let now = Instant::now();
+        assert!(run_as_other(&mut former, &mut record, &reservation("r-1", "a", 0)));
+        let Transfer::Account(snapshot) = former.transfer("p", false, now) else {
+            panic!("no account");
+        };
+        let mut next = Ledger::default();
+        next.take_over("p".into(), *snapshot, 1, now);
+        assert_eq!(next.due_records(now).len(), 1);
+    }
+
     // Guards against tokens that an owner does not count because a daemon's total started anew.
     tokens_of_a_count_that_was_dropped_are_counted_once_more {
         let mut counts = Counts::new("a".into());
