Share the set-up of tests with cut links

Three test files built daemons behind proxies; testing::gateway_harness::Partitionable does it now. The two decoders of entries that daemons write for each other share one function, whose log line names the key.

--- a/crates/catkinshed/tests/leaving.rs
+++ b/crates/catkinshed/tests/leaving.rs
@@ -1,9 +1,7 @@
 //! Checks that an endpoint that says that it leaves gets no new requests, in touch or not.
 
 use std::time::{Duration, Instant};
-use testing::gateway_harness::{Harness, WAIT_TIMEOUT, config, streaming};
-use testing::net;
-use testing::proxy::{Fault, Proxy};
+use testing::gateway_harness::{Harness, Partitionable, WAIT_TIMEOUT, streaming};
 use testing::script::{Behaviour, Endpoint};
 use tokio::io::AsyncReadExt;
 
@@ -11,46 +9,26 @@
 /// Time within which a request that cannot be served has to be refused.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
-/// Starts daemons with two endpoints, the first of which leaves; with `cut_off`, each daemon is
-/// then cut off from the key-value service and from the others.
+/// Starts daemons with two endpoints, the first of which leaves; with `cut_off`, the daemons are then
+/// cut off from the key-value service and from each other.
 async fn start(
     name: &str,
     daemons: usize,
     behaviour: Behaviour,
     cut_off: bool,
-) -> (Harness, [Endpoint; 2]) {
+) -> (Partitionable, [Endpoint; 2]) {
     let endpoints =
         [Endpoint::start("e-0", behaviour.clone()).await, Endpoint::start("e-1", behaviour).await];
-    let mut harness = Harness::without_daemons(name).await;
-    for endpoint in &endpoints {
-        harness.register(endpoint, "ready").await;
-    }
-    harness.configure(&config(1)).await;
-    let kv_addr = harness.kv.url().trim_start_matches("http://").parse().expect("an address");
-    let kv = Proxy::start(kv_addr).await;
-    let peer_addrs: Vec<_> = (0..daemons).map(|_| net::free_addr()).collect();
-    let mut peers = Vec::new();
-    for addr in &peer_addrs {
-        peers.push(Proxy::start(*addr).await);
-    }
-    let seeds: Vec<_> = peers.iter().map(|proxy| proxy.addr.to_string().into()).collect();
-    for (number, addr) in peer_addrs.into_iter().enumerate() {
-        let mut settings = harness.settings(number, addr, &seeds);
-        settings.peer_public = Some(peers[number].addr);
-        settings.kv = format!("http://{}", kv.addr).into();
-        settings.limits.lease_ttl_ms = 10_000;
-        let daemon = harness.launch(BINARY, settings);
-        harness.daemons.push(daemon);
-    }
-    harness.wait_until_converged().await;
+    let listed = [&endpoints[0], &endpoints[1]];
+    let fleet = Partitionable::start(BINARY, name, daemons, &listed).await;
     // The versions of the endpoints are announced.
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     if cut_off {
-        kv.set_fault(Fault::StallBoth);
-        peers.iter().for_each(|peer| peer.set_fault(Fault::StallBoth));
+        let all: Vec<usize> = (0..daemons).collect();
+        fleet.cut_from_all(&all);
         tokio::time::sleep(Duration::from_millis(2_000)).await;
     }
-    (harness, endpoints)
+    (fleet, endpoints)
 }
 
 /// Sends requests through the first daemon until the endpoint has answered one.
@@ -77,9 +55,10 @@
         true => streaming(3, Duration::from_millis(5)),
         false => Behaviour::Respond,
     };
-    let (harness, endpoints) = start(name, 2, behaviour, cut_off).await;
+    let (fleet, endpoints) = start(name, 2, behaviour, cut_off).await;
+    let harness = &fleet.harness;
     endpoints[0].set_leaving(true);
-    send_until_answered(&harness, path, &endpoints[0]).await;
+    send_until_answered(harness, path, &endpoints[0]).await;
     for number in 0..20 {
         let response = harness.request(0, path, &format!("r-{number}"), headers).await;
         assert_eq!((response.status, response.complete), (200, true), "request {number}");
@@ -113,7 +92,8 @@
 async fn a_stream_is_resumed_at_a_leaving_endpoint() {
     let breaking =
         Behaviour::Stream { events: 4, gap: Duration::from_millis(5), breaks_after: Some(2) };
-    let (harness, endpoints) = start("leaving-resume", 1, breaking, false).await;
+    let (fleet, endpoints) = start("leaving-resume", 1, breaking, false).await;
+    let harness = &fleet.harness;
     endpoints[0].set_leaving(true);
     for number in 0..8 {
         let id = format!("r-{number}");
@@ -128,7 +108,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_client_resumes_a_stream_at_a_leaving_endpoint() {
     let behaviour = streaming(40, Duration::from_millis(20));
-    let (harness, endpoints) = start("leaving-client", 1, behaviour, false).await;
+    let (fleet, endpoints) = start("leaving-client", 1, behaviour, false).await;
+    let harness = &fleet.harness;
     endpoints[0].set_leaving(true);
     let mut begun = Vec::new();
     for number in 0..4 {
@@ -151,9 +132,10 @@
 /// Guards against an endpoint that is avoided for ever after its process said that it leaves.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_next_process_of_an_endpoint_that_left_gets_no_requests() {
-    let (harness, endpoints) = start("leaving-next", 1, Behaviour::Respond, false).await;
+    let (fleet, endpoints) = start("leaving-next", 1, Behaviour::Respond, false).await;
+    let harness = &fleet.harness;
     endpoints[0].set_leaving(true);
-    send_until_answered(&harness, "/safe/x", &endpoints[0]).await;
+    send_until_answered(harness, "/safe/x", &endpoints[0]).await;
     // Its registration expires, and comes back before the process ends.
     harness.deregister(&endpoints[0]).await;
     tokio::time::sleep(Duration::from_millis(2_500)).await;
@@ -165,16 +147,17 @@
     assert_eq!(runs(&endpoints[0], "r-"), 0, "the same process");
     endpoints[0].restart(2);
     harness.register(&endpoints[0], "ready").await;
-    send_until_answered(&harness, "/safe/x", &endpoints[0]).await;
+    send_until_answered(harness, "/safe/x", &endpoints[0]).await;
 }
 
 /// Guards against requests that wait for their deadline because all endpoints leave.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_wait_although_all_endpoints_leave() {
-    let (harness, endpoints) = start("leaving-all", 1, Behaviour::Respond, false).await;
+    let (fleet, endpoints) = start("leaving-all", 1, Behaviour::Respond, false).await;
+    let harness = &fleet.harness;
     for endpoint in &endpoints {
         endpoint.set_leaving(true);
-        send_until_answered(&harness, "/safe/x", endpoint).await;
+        send_until_answered(harness, "/safe/x", endpoint).await;
     }
     for path in ["/safe/x", "/unsafe/x", "/stream/x"] {
         let started = Instant::now();
--- a/crates/catkinshed/tests/staleness.rs
+++ b/crates/catkinshed/tests/staleness.rs
@@ -1,9 +1,7 @@
 //! Checks that a daemon whose view is out of date does not mislead the others.
 
 use std::time::{Duration, Instant};
-use testing::gateway_harness::{Harness, config, route};
-use testing::net;
-use testing::proxy::{Fault, Proxy};
+use testing::gateway_harness::{Harness, Partitionable, config, route};
 use testing::script::{Behaviour, Endpoint};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_catkinshed");
@@ -11,6 +9,8 @@
 const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 /// Time after the acknowledgement of a configuration within which it takes effect.
 const APPLY_TIME: Duration = Duration::from_millis(2_000);
+/// Number of daemons in the tests with cut-off delegates.
+const DAEMONS: usize = 8;
 /// Number of delegates of a small fleet.
 const DELEGATES: usize = 3;
 /// Interval between two requests to one daemon.
@@ -70,47 +70,14 @@
     assert!(late.is_empty(), "{} requests reached the endpoint late: {late:?}", late.len());
 }
 
-/// Daemons that reach the key-value service through proxies.
-struct Partitionable {
-    harness: Harness,
-    proxies: Vec<Proxy>,
-    /// Daemons that watch the service for the others.
-    delegates: Vec<usize>,
-    others: Vec<usize>,
-}
-
-impl Partitionable {
-    async fn start(name: &str, count: usize, endpoints: &[&Endpoint]) -> Self {
-        let mut harness = Harness::without_daemons(name).await;
-        for endpoint in endpoints {
-            harness.register(endpoint, "ready").await;
-        }
-        harness.configure(&config(1)).await;
-        let peer_addrs: Vec<_> = (0..count).map(|_| net::free_addr()).collect();
-        let seeds: Vec<_> = peer_addrs.iter().map(|addr| addr.to_string().into()).collect();
-        let kv_addr = harness.kv.url().trim_start_matches("http://").parse().expect("an address");
-        let mut proxies = Vec::new();
-        for (number, peer_addr) in peer_addrs.into_iter().enumerate() {
-            let proxy = Proxy::start(kv_addr).await;
-            let mut settings = harness.settings(number, peer_addr, &seeds);
-            settings.kv = format!("http://{}", proxy.addr).into();
-            settings.limits.lease_ttl_ms = 10_000;
-            let daemon = harness.launch(BINARY, settings);
-            harness.daemons.push(daemon);
-            proxies.push(proxy);
-        }
-        harness.wait_until_converged().await;
-        let rank = |number: &usize| sched::members::weight(&"delegate", &format!("gate-{number}"));
-        let mut ranked: Vec<usize> = (0..count).collect();
-        ranked.sort_by_key(|number| std::cmp::Reverse(rank(number)));
-        let others = ranked.split_off(DELEGATES);
-        Self { harness, proxies, delegates: ranked, others }
-    }
-
-    /// Holds back all bytes between these daemons and the key-value service, without a reset.
-    fn cut_off(&self, daemons: &[usize]) {
-        daemons.iter().for_each(|daemon| self.proxies[*daemon].set_fault(Fault::StallBoth));
-    }
+/// Returns the delegates of `count` daemons, which watch the key-value service for the others, and the
+/// others.
+fn split_delegates(count: usize) -> (Vec<usize>, Vec<usize>) {
+    let rank = |number: &usize| sched::members::weight(&"delegate", &format!("gate-{number}"));
+    let mut delegates: Vec<usize> = (0..count).collect();
+    delegates.sort_by_key(|number| std::cmp::Reverse(rank(number)));
+    let others = delegates.split_off(DELEGATES);
+    (delegates, others)
 }
 
 /// Returns the configuration `version` with one more route.
@@ -125,20 +92,21 @@
 /// delegates are cut off from the key-value service.
 async fn new_routes_are_not_denied(name: &str, cut_off: usize) {
     let endpoint = Endpoint::start("e-1", Behaviour::Respond).await;
-    let scene = Partitionable::start(name, 8, &[&endpoint]).await;
+    let fleet = Partitionable::start(BINARY, name, DAEMONS, &[&endpoint]).await;
+    let (delegates, others) = split_delegates(DAEMONS);
     // The delegates' calls begin shortly before the cut and stay without an answer for long.
-    scene.harness.configure(&config(2)).await;
+    fleet.harness.configure(&config(2)).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
-    scene.cut_off(&scene.delegates[..cut_off]);
+    fleet.cut_from_kv(&delegates[..cut_off]);
     tokio::time::sleep(Duration::from_millis(300)).await;
-    scene.harness.configure(&config_with(3, "added")).await;
+    fleet.harness.configure(&config_with(3, "added")).await;
     let acknowledged = Instant::now();
     tokio::time::sleep(APPLY_TIME).await;
     let mut denied = Vec::new();
     for round in 0..40 {
-        let requests = scene.others.iter().map(|daemon| {
+        let requests = others.iter().map(|daemon| {
             let (daemon, id) = (*daemon, format!("r-{round}-{daemon}"));
-            let harness = &scene.harness;
+            let harness = &fleet.harness;
             async move { (daemon, harness.request(daemon, "/added/x", &id, &[]).await.status) }
         });
         let after = acknowledged.elapsed();
@@ -152,9 +120,9 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     assert!(denied.is_empty(), "404 from these daemons after these milliseconds: {denied:?}");
-    for daemon in &scene.others {
+    for daemon in &others {
         let response =
-            scene.harness.request(*daemon, "/added/x", &format!("r-{daemon}"), &[]).await;
+            fleet.harness.request(*daemon, "/added/x", &format!("r-{daemon}"), &[]).await;
         assert_eq!(response.status, 200, "daemon {daemon}");
     }
 }
@@ -165,12 +133,13 @@
     let work = Behaviour::RespondAfter(Duration::from_millis(20));
     let endpoints =
         [Endpoint::start("e-1", work.clone()).await, Endpoint::start("e-2", work).await];
-    let scene = Partitionable::start(name, 8, &[&endpoints[0], &endpoints[1]]).await;
-    scene.cut_off(&scene.delegates[..cut_off]);
+    let fleet = Partitionable::start(BINARY, name, DAEMONS, &[&endpoints[0], &endpoints[1]]).await;
+    let (delegates, others) = split_delegates(DAEMONS);
+    fleet.cut_from_kv(&delegates[..cut_off]);
     tokio::time::sleep(Duration::from_millis(300)).await;
-    scene.harness.register(&endpoints[0], "draining").await;
+    fleet.harness.register(&endpoints[0], "draining").await;
     let acknowledged = Instant::now();
-    send_requests(&scene.harness, &scene.others, Duration::from_millis(4_500)).await;
+    send_requests(&fleet.harness, &others, Duration::from_millis(4_500)).await;
     let runs = endpoints[0].runs();
     let after = |started: Instant| started.saturating_duration_since(acknowledged);
     let late = runs.iter().filter(|run| after(run.started) > DRAIN_TIME);
--- a/crates/catkinshed/tests/versions.rs
+++ b/crates/catkinshed/tests/versions.rs
@@ -1,9 +1,7 @@
 //! Checks that a stream goes on only at the software version that began it.
 
 use std::time::{Duration, Instant};
-use testing::gateway_harness::{Harness, Response, WAIT_TIMEOUT, config, streaming};
-use testing::net;
-use testing::proxy::{Fault, Proxy};
+use testing::gateway_harness::{Harness, Partitionable, Response, WAIT_TIMEOUT, streaming};
 use testing::script::{Behaviour, Endpoint};
 use tokio::io::AsyncReadExt;
 
@@ -253,42 +251,15 @@
     assert_eq!(version_of(&endpoints, "b-1"), None);
 }
 
-/// Starts two daemons whose links to each other and to the key-value service can be cut, and two
-/// endpoints of version v1.
-async fn start_cuttable(name: &str) -> (Harness, Vec<Proxy>, [Endpoint; 2]) {
+/// Starts two daemons whose links can be cut, and two endpoints of version v1.
+async fn start_partitionable(name: &str) -> (Partitionable, [Endpoint; 2]) {
     let behaviour = streaming(EVENTS, EVENT_INTERVAL);
     let endpoints =
         [Endpoint::start("e-0", behaviour.clone()).await, Endpoint::start("e-1", behaviour).await];
-    let mut harness = Harness::without_daemons(name).await;
-    for endpoint in &endpoints {
-        harness.register(endpoint, "ready").await;
-    }
-    harness.configure(&config(1)).await;
-    let kv_addr = harness.kv.url().trim_start_matches("http://").parse().expect("an address");
-    let peer_addrs = [net::free_addr(), net::free_addr()];
-    let peers = [Proxy::start(peer_addrs[0]).await, Proxy::start(peer_addrs[1]).await];
-    let seeds: Vec<_> = peers.iter().map(|proxy| proxy.addr.to_string().into()).collect();
-    let kv = Proxy::start(kv_addr).await;
-    for (number, peer_addr) in peer_addrs.into_iter().enumerate() {
-        let mut settings = harness.settings(number, peer_addr, &seeds);
-        settings.peer_public = Some(peers[number].addr);
-        settings.limits.lease_ttl_ms = 10_000;
-        if number == 0 {
-            settings.kv = format!("http://{}", kv.addr).into();
-        }
-        let daemon = harness.launch(BINARY, settings);
-        harness.daemons.push(daemon);
-    }
-    harness.wait_until_converged().await;
+    let listed = [&endpoints[0], &endpoints[1]];
+    let fleet = Partitionable::start(BINARY, name, 2, &listed).await;
     tokio::time::sleep(ANNOUNCE_TIME).await;
-    let [first, second] = peers;
-    (harness, vec![kv, first, second], endpoints)
-}
-
-/// Cuts the first daemon off from the other one and from the key-value service, or ends that.
-fn set_cut(links: &[Proxy], cut: bool) {
-    let fault = if cut { Fault::StallBoth } else { Fault::None };
-    links.iter().for_each(|link| link.set_fault(fault));
+    (fleet, endpoints)
 }
 
 /// Restarts the second endpoint as version v2 under its id and address.
@@ -301,21 +272,22 @@
 /// with another version.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_out_of_step_goes_on_at_a_replaced_engine() {
-    let (harness, links, endpoints) = start_cuttable("version-step").await;
+    let (fleet, endpoints) = start_partitionable("version-step").await;
+    let harness = &fleet.harness;
     // Both daemons hold the records of these streams; those of the second engine are left out.
     for number in 0..16 {
-        begin_stream(&harness, 1, &format!("a-{number}")).await;
+        begin_stream(harness, 1, &format!("a-{number}")).await;
     }
     let began = |number: &usize| engine_of(&endpoints, &format!("a-{number}"));
     let at_first: Vec<usize> = (0..16).filter(|number| began(number) == 0).collect();
     assert!(at_first.len() >= 4, "{at_first:?}");
-    set_cut(&links, true);
-    replace_second(&harness, &endpoints).await;
+    fleet.cut_from_all(&[0]);
+    replace_second(harness, &endpoints).await;
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     let mut served = 0;
     for number in &at_first {
         let resumed = format!("b-{number}");
-        let response = resume_stream(&harness, 0, &resumed, &format!("a-{number}")).await;
+        let response = resume_stream(harness, 0, &resumed, &format!("a-{number}")).await;
         served += usize::from(response.status == 200 && response.complete);
     }
     let at_second = endpoints[1].runs().iter().filter(|run| run.id.starts_with("b-")).count();
@@ -326,18 +298,19 @@
 /// Guards against a record of the wrong version, made by a daemon out of step.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_out_of_step_records_the_version_of_an_earlier_process() {
-    let (harness, links, endpoints) = start_cuttable("version-record").await;
-    set_cut(&links, true);
-    replace_second(&harness, &endpoints).await;
+    let (fleet, endpoints) = start_partitionable("version-record").await;
+    let harness = &fleet.harness;
+    fleet.cut_from_all(&[0]);
+    replace_second(harness, &endpoints).await;
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     for number in 0..12 {
-        begin_stream(&harness, 0, &format!("a-{number}")).await;
+        begin_stream(harness, 0, &format!("a-{number}")).await;
     }
-    set_cut(&links, false);
+    fleet.heal();
     tokio::time::sleep(ANNOUNCE_TIME).await;
     for number in 0..12 {
         let (begun, resumed) = (format!("a-{number}"), format!("b-{number}"));
-        let response = resume_stream(&harness, 1, &resumed, &begun).await;
+        let response = resume_stream(harness, 1, &resumed, &begun).await;
         let began = engine_of(&endpoints, &begun);
         let ran = |endpoint: &Endpoint| endpoint.runs().iter().any(|run| run.id == resumed);
         match response.status {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -13,6 +13,7 @@
 use sched::members;
 use sched::term::{Allocator, Incarnation, TermView, Terms};
 use sched::versions::Register;
+use serde::de::DeserializeOwned;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -55,23 +56,24 @@
 ///
 /// Logs an error and returns `None` if the value is malformed.
 pub fn decode_terms(entry: &Entry) -> Option<(Terms, Revision)> {
-    match serde_json::from_slice(&entry.value) {
-        Ok(terms) => Some((terms, entry.revision)),
-        Err(error) => {
-            log::error!(target: "budget", "the allocation terms cannot be decoded: {error}");
-            None
-        }
-    }
+    decode(entry)
 }
 
 /// Decodes the register of software versions and the revision at which it was written.
 ///
 /// Logs an error and returns `None` if the value is malformed.
 pub fn decode_versions(entry: &Entry) -> Option<(Register, Revision)> {
+    decode(entry)
+}
+
+fn decode<T: DeserializeOwned>(entry: &Entry) -> Option<(T, Revision)> {
     match serde_json::from_slice(&entry.value) {
-        Ok(register) => Some((register, entry.revision)),
+        Ok(value) => Some((value, entry.revision)),
         Err(error) => {
-            log::error!(target: "resume", "the register of versions cannot be decoded: {error}");
+            log::error!(
+                target: "platform", key = entry.key.as_str();
+                "an entry of the daemons cannot be decoded: {error}"
+            );
             None
         }
     }
--- a/crates/testing/src/gateway_harness.rs
+++ b/crates/testing/src/gateway_harness.rs
@@ -5,6 +5,7 @@
 use crate::kv::{self, Kv};
 use crate::net;
 use crate::process::Process;
+use crate::proxy::{Fault, Proxy};
 use crate::script::{Behaviour, Endpoint};
 use compact_str::CompactString;
 use gateway::settings::{Limits, Settings};
@@ -406,6 +407,68 @@
     }
 }
 
+/// Daemons whose links to the key-value service and to each other can be cut.
+pub struct Partitionable {
+    /// The daemons and fakes.
+    pub harness: Harness,
+    /// Links of the daemons to the key-value service.
+    pub kv_links: Vec<Proxy>,
+    /// Links of the peers to each daemon.
+    pub peer_links: Vec<Proxy>,
+}
+
+impl Partitionable {
+    /// Registers `endpoints` for service `s`, starts `count` daemons and waits until they have
+    /// converged. The daemons' leases outlive a cut of some seconds.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process cannot be started or the daemons don't converge in time.
+    pub async fn start(binary: &str, name: &str, count: usize, endpoints: &[&Endpoint]) -> Self {
+        let mut harness = Harness::without_daemons(name).await;
+        for endpoint in endpoints {
+            harness.register(endpoint, "ready").await;
+        }
+        harness.configure(&config(1)).await;
+        let kv_addr = harness.kv.url().trim_start_matches("http://").parse().expect("an address");
+        let peer_addrs: Vec<_> = (0..count).map(|_| net::free_addr()).collect();
+        let (mut kv_links, mut peer_links) = (Vec::new(), Vec::new());
+        for addr in &peer_addrs {
+            kv_links.push(Proxy::start(kv_addr).await);
+            peer_links.push(Proxy::start(*addr).await);
+        }
+        let seeds: Vec<_> = peer_links.iter().map(|link| link.addr.to_string().into()).collect();
+        for (number, addr) in peer_addrs.into_iter().enumerate() {
+            let mut settings = harness.settings(number, addr, &seeds);
+            settings.peer_public = Some(peer_links[number].addr);
+            settings.kv = format!("http://{}", kv_links[number].addr).into();
+            settings.limits.lease_ttl_ms = 10_000;
+            let daemon = harness.launch(binary, settings);
+            harness.daemons.push(daemon);
+        }
+        harness.wait_until_converged().await;
+        Self { harness, kv_links, peer_links }
+    }
+
+    /// Holds back all bytes between these daemons and the key-value service, without a reset.
+    pub fn cut_from_kv(&self, daemons: &[usize]) {
+        daemons.iter().for_each(|daemon| self.kv_links[*daemon].set_fault(Fault::StallBoth));
+    }
+
+    /// Holds back all bytes between these daemons and the key-value service, and between all
+    /// daemons.
+    pub fn cut_from_all(&self, daemons: &[usize]) {
+        self.cut_from_kv(daemons);
+        self.peer_links.iter().for_each(|link| link.set_fault(Fault::StallBoth));
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&self) {
+        let links = self.kv_links.iter().chain(&self.peer_links);
+        links.for_each(|link| link.set_fault(Fault::None));
+    }
+}
+
 /// Waits until `condition` returns true.
 ///
 /// # Panics
