Read the durable records of streams only while versions are mixed

After the loss of all daemons each request read the register and all records, and copied them, although one version served, or the record had been read before. The register is read alone now; the records are listed only while several versions may have begun the stream, and one that was read once is used again.

An endpoint whose registration names no start time cannot be compared with its report, and counts as one that does not say which process it is.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -15,7 +15,7 @@
 use indexmap::IndexMap;
 use peer::gateway::{Command, Member, Response};
 use peer::wire::{Reply, Request};
-use platform::kv::{Client, Error, LeaseId};
+use platform::kv::{Client, Entry, Error, LeaseId};
 use sched::id::{RequestId, SoftwareVersion};
 use sched::origin::{self, COPIES};
 use sched::versions::Register;
@@ -44,12 +44,15 @@
 /// Versions that began streams, by the client's attempt that brought the first event.
 type Records = IndexMap<RequestId, SoftwareVersion>;
 
-/// What the key-value service holds about streams, as of a time.
-#[derive(Clone)]
+/// What the key-value service holds about streams, as last read.
+#[derive(Default)]
 struct Durable {
-    read_at: Instant,
     register: Register,
+    /// Time at which the read of the register began.
+    register_read_at: Option<Instant>,
     records: Records,
+    /// Time at which the read of the records began.
+    records_read_at: Option<Instant>,
 }
 
 /// Records of this daemon, and access to those of the others.
@@ -62,7 +65,7 @@
     /// Records to be written to the key-value service.
     unwritten: Mutex<Records>,
     /// Held during a read, so that requests that arrive meanwhile share the next one.
-    durable: tokio::sync::Mutex<Option<Durable>>,
+    durable: tokio::sync::Mutex<Durable>,
 }
 
 impl Origins {
@@ -185,45 +188,50 @@
         window: Duration,
     ) -> Option<SoftwareVersion> {
         let asked_at = Instant::now();
-        let found = timeout(READ_TIMEOUT, self.read_durable(asked_at)).await;
-        let found = match found.unwrap_or_else(|_| Err(Error::Unknown("timed out".to_owned()))) {
-            Ok(found) => found,
-            Err(error) => {
-                log::info!(
-                    target: "resume", request = request.as_str();
-                    "failed to read which versions began streams: {error}"
-                );
-                return None;
-            }
-        };
-        let recorded = found.records.get(request);
-        recorded.or_else(|| found.register.only_version(service, since_ms(window))).cloned()
+        let found = timeout(READ_TIMEOUT, self.read_origin(request, service, window, asked_at));
+        let found = found.await.unwrap_or_else(|_| Err(Error::Unknown("timed out".to_owned())));
+        found.unwrap_or_else(|error| {
+            log::info!(
+                target: "resume", request = request.as_str();
+                "failed to read which versions began streams: {error}"
+            );
+            None
+        })
     }
 
-    async fn read_durable(&self, asked_at: Instant) -> Result<Durable, Error> {
+    async fn read_origin(
+        &self,
+        request: &RequestId,
+        service: &str,
+        window: Duration,
+        asked_at: Instant,
+    ) -> Result<Option<SoftwareVersion>, Error> {
         let mut durable = self.durable.lock().await;
-        if let Some(found) = durable.as_ref().filter(|found| found.read_at >= asked_at) {
-            return Ok(found.clone());
+        // A record never changes, so one that was read earlier is as good as a new one.
+        if let Some(version) = durable.records.get(request) {
+            return Ok(Some(version.clone()));
         }
-        let read_at = Instant::now();
-        let register = self.kv.get(members::VERSIONS_KEY);
-        let listing = self.kv.list(members::ORIGINS, "");
-        let (register, listing) = tokio::try_join!(register, listing)?;
-        let register = register.as_ref().and_then(members::decode_versions);
-        let records = listing.entries.iter().filter_map(|entry| {
-            serde_json::from_slice::<Records>(&entry.value)
-                .inspect_err(|error| {
-                    log::warn!(
-                        target: "resume", key = entry.key.as_str();
-                        "ignoring records of streams that cannot be decoded: {error}"
-                    );
-                })
-                .ok()
-        });
-        let records = records.flatten().collect();
-        let found = Durable { read_at, register: register.unwrap_or_default().0, records };
-        *durable = Some(found.clone());
-        Ok(found)
+        if durable.register_read_at.is_none_or(|read_at| read_at < asked_at) {
+            let read_at = Instant::now();
+            let found = self.kv.get(members::VERSIONS_KEY).await?;
+            let register = found.as_ref().and_then(members::decode_versions);
+            durable.register = register.unwrap_or_default().0;
+            durable.register_read_at = Some(read_at);
+        }
+        let since_ms = since_ms(window);
+        if let Some(version) = durable.register.only_version(service, since_ms) {
+            return Ok(Some(version.clone()));
+        }
+        if !durable.register.is_mixed(service, since_ms) {
+            return Ok(None);
+        }
+        if durable.records_read_at.is_none_or(|read_at| read_at < asked_at) {
+            let read_at = Instant::now();
+            let listing = self.kv.list(members::ORIGINS, "").await?;
+            durable.records = listing.entries.iter().filter_map(decode_records).flatten().collect();
+            durable.records_read_at = Some(read_at);
+        }
+        Ok(durable.records.get(request).cloned())
     }
 
     /// Writes the records that this daemon got as their writer.
@@ -290,9 +298,27 @@
         let mut held = self.held();
         held.sweep(now);
         metrics::gauge!("stream_records").set(held.len() as f64);
+        // A read in progress replaces what it holds.
+        if let Ok(mut durable) = self.durable.try_lock()
+            && durable.records_read_at.is_some_and(|at| now.duration_since(at) > LEASE_TTL)
+        {
+            *durable = Durable::default();
+        }
     }
 }
 
+fn decode_records(entry: &Entry) -> Option<Records> {
+    let records = serde_json::from_slice(&entry.value);
+    records
+        .inspect_err(|error| {
+            log::warn!(
+                target: "resume", key = entry.key.as_str();
+                "ignoring records of streams that cannot be decoded: {error}"
+            );
+        })
+        .ok()
+}
+
 /// Returns the beginning of a window that ends now, in milliseconds since the Unix epoch.
 fn since_ms(window: Duration) -> u64 {
     unix_ms().saturating_sub(window.as_millis() as u64)
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -112,7 +112,9 @@
             return Err(Error::Unsent);
         };
         self.sender.ready().await?;
-        let said = platform::report::incarnation(&report.to_bytes()).filter(|_| is_success);
+        // Without a start time in the registration there is nothing to compare.
+        let said = platform::report::incarnation(&report.to_bytes())
+            .filter(|_| is_success && self.incarnation != 0);
         self.verified = said == Some(self.incarnation);
         Ok(match said {
             Some(said) if said == self.incarnation => Identity::Registered,
