--- a/crates/catkinshed/tests/leaving.rs
+++ b/crates/catkinshed/tests/leaving.rs
@@ -76,7 +76,7 @@
 
 leaving! {
     /// Guards against requests at a leaving endpoint from a daemon that is cut off from the service
-    /// and from all others (DRAIN, issue 27).
+    /// and from all others.
     a_daemon_that_is_cut_off_uses_a_leaving_endpoint: "/safe/x", ["Deadline-Ms: 1500"], true;
     /// Guards against the same for requests that run once, such as calls of tools.
     calls_of_tools_reach_a_leaving_endpoint: "/unsafe/x", ["Deadline-Ms: 1500"], true;
--- a/crates/catkinshed/tests/staleness.rs
+++ b/crates/catkinshed/tests/staleness.rs
@@ -31,7 +31,7 @@
 }
 
 /// Guards against daemons that send requests to an endpoint that they know to have left, because a
-/// coordinator that has just woken books it (DRAIN, review case 2).
+/// coordinator that has just woken books it.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemons_follow_the_bookings_of_a_coordinator_that_has_just_woken() {
     let work = Behaviour::RespondAfter(Duration::from_millis(60));
@@ -158,11 +158,11 @@
 
 cut_off_delegates! {
     /// Guards against daemons that get all news from delegates that hear nothing from the key-value
-    /// service and say that they watch it (CONFIG, review case 3).
+    /// service and say that they watch it.
     followers_of_two_cut_off_delegates_deny_new_routes: new_routes_are_not_denied(2)
     /// Guards against daemons that trust delegates none of which hears the key-value service.
     followers_of_only_cut_off_delegates_deny_new_routes: new_routes_are_not_denied(3)
-    /// Guards against the same delay where an endpoint leaves (DRAIN, review case 2).
+    /// Guards against the same delay where an endpoint leaves.
     followers_of_two_cut_off_delegates_use_leaving_endpoints: leaving_endpoints_are_left_alone(2)
     /// Guards against the same where no delegate hears the key-value service.
     followers_of_only_cut_off_delegates_use_leaving_endpoints: leaving_endpoints_are_left_alone(3)
--- a/crates/sched/tests/spend.rs
+++ b/crates/sched/tests/spend.rs
@@ -176,8 +176,7 @@
         assert!(!run_as_allocator(&mut ledger, &mut record, &reservation("late", "b", 0)));
     }
 
-    // Guards against an allocator that grants its share again to a program that it has forgotten
-    // (BUDGET, review case 1).
+    // Guards against an allocator that grants its share again to a program that it has forgotten.
     an_allocator_grants_its_share_again_to_a_program_that_was_stopped_elsewhere {
         let (mut allocator, mut record) = (Ledger::default(), None);
         let turn = reservation("r-1", "a", 0);
