Log and count where a daemon gets its configuration from

'configuration installed' now names the version before, the number of routes, the source (listing, stale listing, watch, peer) and the peer; a configuration that is older than the one in force and one that cannot be decoded have lines of their own. 'a delegate keeps the view current' says whom a daemon follows. configurations_total counts by source and outcome, subscriptions_ended_total by reason, and configuration_version is the version in force.

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,7 @@
 //! comes from the key-value service or from a peer.
 
 use crate::members;
+use compact_str::CompactString;
 use indexmap::{IndexMap, IndexSet};
 use peer::gateway::{Change, Changes, Member, View as Exported};
 use sched::fleet::{Fleet, Registration};
@@ -52,6 +53,45 @@
     Directory,
 }
 
+/// Where this daemon got a configuration from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A listing of the key-value service that is current.
+    Listing,
+    /// A listing of the key-value service that may be out of date.
+    StaleListing,
+    /// A watch of the key-value service.
+    Watch,
+    /// The peer at this address.
+    Peer(CompactString),
+}
+
+impl Source {
+    /// Returns the name used in log lines and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Listing => "listing",
+            Self::StaleListing => "stale_listing",
+            Self::Watch => "watch",
+            Self::Peer(_) => "peer",
+        }
+    }
+
+    /// Returns the address of the peer; empty if the source is not a peer.
+    pub fn peer(&self) -> &str {
+        match self {
+            Self::Peer(addr) => addr,
+            Self::Listing | Self::StaleListing | Self::Watch => "",
+        }
+    }
+
+    /// Counts a configuration from this source, by what became of it.
+    pub fn count(&self, outcome: &'static str) {
+        metrics::counter!("configurations_total", "source" => self.name(), "outcome" => outcome)
+            .increment(1);
+    }
+}
+
 /// What confirms that the view is current.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sources {
@@ -332,18 +372,39 @@
     }
 
     /// Installs a configuration if it is newer than the current one; returns whether it was newer.
-    pub fn install_table(&self, table: Table) -> bool {
-        let version = table.version;
-        {
+    pub fn install_table(&self, table: Table, source: &Source) -> bool {
+        let (version, routes) = (table.version, table.route_count());
+        let previous = {
             let mut state = self.lock();
-            if state.table.as_ref().is_some_and(|current| current.version >= version) {
-                return false;
+            let previous = state.table.as_ref().map(|current| current.version);
+            if previous.is_none_or(|previous| previous < version) {
+                state.table = Some(Arc::new(table));
+            }
+            previous
+        };
+        let (name, peer) = (source.name(), source.peer());
+        match previous {
+            // Each daemon has several sources, so it gets most versions more than once.
+            Some(previous) if previous == version => source.count("known"),
+            Some(previous) if previous > version => {
+                source.count("older");
+                log::info!(
+                    target: "config", version, in_force = previous, source = name, peer;
+                    "discarded a configuration that is older than the one in force"
+                );
+            }
+            previous => {
+                source.count("installed");
+                metrics::gauge!("configuration_version").set(version as f64);
+                log::info!(
+                    target: "config", version, previous, routes, source = name, peer;
+                    "configuration installed"
+                );
+                self.notify();
+                return true;
             }
-            state.table = Some(Arc::new(table));
         }
-        log::info!(target: "config", version; "configuration installed");
-        self.notify();
-        true
+        false
     }
 
     /// Applies changes, after which the view is current up to `revision`.
@@ -411,9 +472,9 @@
     /// Merges a peer's view if it is newer than this one; returns whether it was.
     ///
     /// The peer's configuration is installed if it is newer, whatever the revision of the view.
-    pub fn merge(&self, view: Exported, now: Instant) -> bool {
+    pub fn merge(&self, view: Exported, source: &Source, now: Instant) -> bool {
         if let Some(table) = view.table {
-            self.install_table(table);
+            self.install_table(table, source);
         }
         if view.revision <= self.revision() {
             return false;
@@ -426,9 +487,9 @@
     /// Applies a peer's changes if they are newer than this view.
     ///
     /// The peer's configuration is installed if it is newer, whatever the revision of the changes.
-    pub fn merge_changes(&self, changes: Changes, now: Instant) {
+    pub fn merge_changes(&self, changes: Changes, source: &Source, now: Instant) {
         if let Some(table) = changes.table {
-            self.install_table(table);
+            self.install_table(table, source);
         }
         if changes.revision > self.revision() {
             self.apply(changes.changes, changes.revision, now);
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -14,7 +14,7 @@
 
 use crate::budgets::Budgets;
 use crate::settings::{Settings, millis};
-use crate::view::{Scope, View};
+use crate::view::{Scope, Source, View};
 use crate::{members, retire};
 use compact_str::CompactString;
 use indexmap::IndexMap;
@@ -73,6 +73,31 @@
 /// Delegates that the subscriptions use, by slot.
 type Targets = [Option<CompactString>; SUBSCRIPTIONS];
 
+/// Why a subscription ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SubscriptionEnd {
+    /// The peer did not answer.
+    Unreachable,
+    /// The peer sent nothing for [`SUBSCRIPTION_TIMEOUT`], or closed the connection.
+    Silent,
+    /// The peer's view is not current.
+    NotCurrent,
+    /// The peer sent something else than an update.
+    Unexpected,
+}
+
+impl SubscriptionEnd {
+    /// Returns the name used in log lines and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Silent => "silent",
+            Self::NotCurrent => "not_current",
+            Self::Unexpected => "unexpected",
+        }
+    }
+}
+
 /// State of this daemon's watches and subscriptions.
 pub struct SyncStatus {
     /// Time until which this daemon waits for delegates before it watches the service itself.
@@ -223,7 +248,8 @@
         };
         match scope {
             Scope::Configuration => {
-                listing.entries.iter().for_each(|entry| self.apply_configuration(entry))
+                let source = if is_current { Source::Listing } else { Source::StaleListing };
+                listing.entries.iter().for_each(|entry| self.apply_configuration(entry, &source))
             }
             Scope::Directory => self.replace(&listing.entries, listing.revision),
         }
@@ -341,7 +367,7 @@
             Scope::Configuration => {
                 for event in events {
                     if let Event::Put(entry) = event {
-                        self.apply_configuration(&entry);
+                        self.apply_configuration(&entry, &Source::Watch);
                     }
                 }
             }
@@ -352,11 +378,20 @@
         }
     }
 
-    fn apply_configuration(&self, entry: &Entry) {
+    /// Applies an entry that operators wrote. A configuration that cannot be decoded leaves the one
+    /// in force in place.
+    fn apply_configuration(&self, entry: &Entry, source: &Source) {
         if entry.key == config::KEY {
             match config::decode(&entry.value) {
-                Ok(table) => drop(self.view.install_table(table)),
-                Err(error) => log::error!(target: "config", "{error}"),
+                Ok(table) => drop(self.view.install_table(table, source)),
+                Err(error) => {
+                    source.count("undecodable");
+                    let in_force = self.view.table().map(|table| table.version);
+                    log::error!(
+                        target: "config", revision = entry.revision, in_force, source = source.name();
+                        "ignoring a configuration: {error}"
+                    );
+                }
             }
         }
         if let Some(vm) = entry.key.strip_prefix(config::RETIRE_PREFIX) {
@@ -399,7 +434,12 @@
                 sleep(ROLE_CHECK_INTERVAL).await;
                 continue;
             };
-            self.subscribe(&delegate).await;
+            let reason = self.subscribe(&delegate, slot).await.name();
+            metrics::counter!("subscriptions_ended_total", "reason" => reason).increment(1);
+            log::debug!(
+                target: "platform", delegate = delegate.as_str(), slot, reason;
+                "a subscription ended"
+            );
             self.sync_status.targets()[slot] = None;
             failures += 1;
             sleep(RESUBSCRIBE_DELAY).await;
@@ -424,10 +464,11 @@
         targets[slot].clone()
     }
 
-    /// Receives updates from a peer until it stops sending, or its view is not current.
+    /// Receives updates from a peer until it stops sending, or its view is not current, and returns
+    /// why it ended.
     ///
     /// Another delegate may be in touch in the latter case.
-    async fn subscribe(&self, addr: &str) {
+    async fn subscribe(&self, addr: &str, slot: usize) -> SubscriptionEnd {
         let version = self.view.table().map(|table| table.version);
         let revision = self.view.revision();
         let request = Request::Gateway(Box::new(Command::Subscribe { version, revision }));
@@ -436,25 +477,27 @@
             timeout(peer_timeout, self.budgets.peers().call(addr, &request)).await
         else {
             self.budgets.peers().disconnect(addr);
-            return;
+            return SubscriptionEnd::Unreachable;
         };
+        let source = Source::Peer(addr.into());
         let mut transit = Transit::default();
+        let mut confirmed = false;
         loop {
             let Ok(Ok(Some(Reply::Gateway(response)))) =
                 timeout(SUBSCRIPTION_TIMEOUT, replies.next()).await
             else {
                 self.budgets.peers().disconnect(addr);
-                return;
+                return SubscriptionEnd::Silent;
             };
             let now = Instant::now();
             self.sync_status.record_peer_update(now);
             let stamp = match response {
                 Response::View { view, stamp } => {
-                    self.view.merge(*view, now);
+                    self.view.merge(*view, &source, now);
                     stamp
                 }
                 Response::Changes { changes, stamp } => {
-                    self.view.merge_changes(*changes, now);
+                    self.view.merge_changes(*changes, &source, now);
                     stamp
                 }
                 Response::Pending
@@ -463,15 +506,25 @@
                 | Response::Inherited(_)
                 | Response::Booked(_)
                 | Response::Origin(_)
-                | Response::Noted => return,
+                | Response::Noted => return SubscriptionEnd::Unexpected,
             };
             let delay = transit.delay(stamp.sent, now);
             let age = stamp.age.map(|age| age + delay);
             match age.filter(|_| freshness::is_current(age)) {
-                Some(age) => self.view.confirm_by_peer(age, now),
+                Some(age) => {
+                    self.view.confirm_by_peer(age, now);
+                    if !confirmed {
+                        confirmed = true;
+                        let age_ms = age.as_millis() as u64;
+                        log::info!(
+                            target: "platform", delegate = addr, slot, age_ms;
+                            "a delegate keeps the view current"
+                        );
+                    }
+                }
                 // The updates that wait behind a delayed one are newer.
                 None if freshness::is_current(stamp.age) => {}
-                None => return,
+                None => return SubscriptionEnd::NotCurrent,
             }
         }
     }
