--- a/crates/testing/src/faults.rs
+++ b/crates/testing/src/faults.rs
@@ -18,6 +18,13 @@
     /// Whether reads that accept stale data see the store before its first write, and watches from
     /// there fail because the changes are no longer kept.
     pub stale_reads: bool,
+    /// Time by which reads that accept stale data are behind.
+    pub stale_by: Duration,
+    /// Whether watches hear of no change. Those that end without one name the current revision.
+    pub deaf: bool,
+    /// Number of times that the service has dropped its history, each of which cuts the waiting
+    /// watches.
+    pub compactions: u32,
 }
 
 /// Faults of one endpoint.
--- a/crates/testing/src/gateway_harness.rs
+++ b/crates/testing/src/gateway_harness.rs
@@ -425,11 +425,26 @@
     ///
     /// Panics if a process cannot be started or the daemons don't converge in time.
     pub async fn start(binary: &str, name: &str, count: usize, endpoints: &[&Endpoint]) -> Self {
-        let mut harness = Harness::without_daemons(name).await;
+        let harness = Harness::without_daemons(name).await;
         for endpoint in endpoints {
             harness.register(endpoint, "ready").await;
         }
         harness.configure(&config(1)).await;
+        Self::launch(binary, harness, count, |_, _| {}).await
+    }
+
+    /// Starts `count` daemons on a harness with an endpoint and a configuration, after `adjust`
+    /// changed the settings of each, and waits until they have converged.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process cannot be started or the daemons don't converge in time.
+    pub async fn launch(
+        binary: &str,
+        mut harness: Harness,
+        count: usize,
+        adjust: impl Fn(usize, &mut Settings),
+    ) -> Self {
         let kv_addr = harness.kv.url().trim_start_matches("http://").parse().expect("an address");
         let peer_addrs: Vec<_> = (0..count).map(|_| net::free_addr()).collect();
         let (mut kv_links, mut peer_links) = (Vec::new(), Vec::new());
@@ -443,6 +458,7 @@
             settings.peer_public = Some(peer_links[number].addr);
             settings.kv = format!("http://{}", kv_links[number].addr).into();
             settings.limits.lease_ttl_ms = 10_000;
+            adjust(number, &mut settings);
             let daemon = harness.launch(binary, settings);
             harness.daemons.push(daemon);
         }
--- a/crates/testing/src/kv.rs
+++ b/crates/testing/src/kv.rs
@@ -66,6 +66,7 @@
     revision: u64,
     key: String,
     item: Option<Item>,
+    at: Instant,
 }
 
 struct Lease {
@@ -109,9 +110,37 @@
     reads: TokenBucket,
     /// Number of committed transactions.
     committed: u32,
+    /// Revision up to which watches no longer find the changes.
+    compacted: u64,
+    /// Number of compactions that were carried out.
+    compactions: u32,
 }
 
 impl Store {
+    /// Returns the items as they were at `at`, and the revision of that time.
+    ///
+    /// The history is only kept from watches when it is dropped, so it still tells.
+    fn as_of(&self, at: Instant) -> (BTreeMap<String, Item>, u64) {
+        let mut items = BTreeMap::new();
+        let mut revision = INITIAL_REVISION;
+        for change in self.history.iter().take_while(|change| change.at <= at) {
+            revision = change.revision;
+            match &change.item {
+                Some(item) => drop(items.insert(change.key.clone(), item.clone())),
+                None => drop(items.remove(&change.key)),
+            }
+        }
+        (items, revision)
+    }
+
+    /// Drops the history if `ordered` compactions are more than were carried out.
+    fn compact(&mut self, ordered: u32) {
+        if ordered > self.compactions {
+            self.compactions = ordered;
+            self.compacted = self.revision;
+        }
+    }
+
     fn put(&mut self, key: String, value: Vec<u8>, lease: u64) {
         self.revision += 1;
         let created = self.items.get(&key).map_or(self.revision, |item| item.created);
@@ -128,7 +157,8 @@
     }
 
     fn record_change(&mut self, key: String, item: Option<Item>) {
-        self.history.push_back(Change { revision: self.revision, key, item });
+        let at = Instant::now();
+        self.history.push_back(Change { revision: self.revision, key, item, at });
         if self.history.len() > MAX_HISTORY {
             self.history.pop_front();
         }
@@ -208,6 +238,8 @@
             writes: TokenBucket::new(spec.writes_per_s),
             reads: TokenBucket::new(spec.reads_per_s),
             committed: 0,
+            compacted: 0,
+            compactions: 0,
         };
         let shared = Arc::new(Shared {
             store: Mutex::new(store),
@@ -333,8 +365,17 @@
     let prefix = path_prefix.unwrap_or_default();
     let after = after.unwrap_or_default();
     let store = app.lock();
+    let stale_by = app.faults.kv().stale_by;
+    let stale = Instant::now()
+        .checked_sub(stale_by)
+        .filter(|_| stale_ok == Some(1) && !stale_by.is_zero())
+        .map(|at| store.as_of(at));
+    let (all, revision) = match &stale {
+        Some((items, revision)) => (items, *revision),
+        None => (&store.items, store.revision),
+    };
     let from = prefix.max(after).to_owned();
-    let mut found = store.items.range(from..).filter(|(key, _)| key.as_str() > after);
+    let mut found = all.range(from..).filter(|(key, _)| key.as_str() > after);
     let mut items = Vec::new();
     let mut bytes = 0;
     let mut has_more = false;
@@ -346,9 +387,7 @@
         bytes += item.value.len();
         items.push(item_json(key, item));
     }
-    json_response(
-        &json!({ "items": items, "has_more": has_more, "store_revision": store.revision }),
-    )
+    json_response(&json!({ "items": items, "has_more": has_more, "store_revision": revision }))
 }
 
 /// Returns a response with the current items of the keys in a transaction's conditions.
@@ -454,9 +493,12 @@
     let prefix = path_prefix.unwrap_or_default();
     let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms).min(MAX_WATCH_WAIT);
     let mut changed = app.changed.subscribe();
+    let compactions = app.faults.kv().compactions;
+    app.lock().compact(compactions);
     loop {
         changed.mark_unchanged();
-        if app.faults.kv().down {
+        let faults = app.faults.kv();
+        if faults.down || faults.compactions != compactions {
             return Err(Status::ServiceUnavailable);
         }
         let timed_out = tokio::time::Instant::now() >= deadline;
@@ -479,14 +521,17 @@
     timed_out: bool,
 ) -> Result<Option<Value>, Status> {
     let store = app.lock();
+    let faults = app.faults.kv();
     let oldest = store.history.front().map_or(0, |change| change.revision);
     let discarded = store.history.len() == MAX_HISTORY && after < oldest;
-    if discarded || (app.faults.kv().stale_reads && after <= INITIAL_REVISION) {
+    if discarded || after < store.compacted || (faults.stale_reads && after <= INITIAL_REVISION) {
         return Err(Status::Gone);
     }
     let recent = store.history.iter().rev().take_while(|change| change.revision > after);
-    let mut events: Vec<Value> =
-        recent.filter(|change| change.key.starts_with(prefix)).map(change_json).collect();
+    let mut events: Vec<Value> = recent
+        .filter(|change| !faults.deaf && change.key.starts_with(prefix))
+        .map(change_json)
+        .collect();
     events.reverse();
     let body = json!({ "events": events, "store_revision": store.revision });
     Ok((timed_out || !events.is_empty()).then_some(body))
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cluster;
 pub mod engine;
 pub mod faults;
+pub mod fleet;
 pub mod gateway_harness;
 pub mod kv;
 pub mod load;
