--- a/crates/catkinshed/tests/configuration.rs
+++ b/crates/catkinshed/tests/configuration.rs
@@ -208,6 +208,27 @@
     assert_eq!(rows.map(|table| table.rows.len()), Some(1));
 }
 
+/// Guards against a daemon that misses one change of the configuration, and with it all later ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_an_answer_of_a_watch_passed_over_hides_all_later_ones() {
+    let fleet = Fleet::start(BINARY, "passed-over", Spec::default(), 2).await;
+    let addrs: Vec<String> = fleet.addrs().iter().map(ToString::to_string).collect();
+    fleet.cluster.faults.update(|state| state.kv.deaf = true);
+    // The daemon writes the change and waits in vain to hear of it.
+    let unconfirmed = send_command(&addrs[0], "set team crew share=7").await;
+    // Every watch call that was open has been answered, without the change.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    fleet.cluster.faults.update(|state| state.kv.deaf = false);
+    tokio::time::sleep(Duration::from_millis(6_000)).await;
+    for addr in &addrs {
+        let shown = send_command(addr, "show teams where share = 7").await;
+        let rows = shown.and_then(Result::ok).and_then(|response| response.table);
+        assert_eq!(rows.map(|table| table.rows.len()), Some(1), "{addr}, {unconfirmed:?}");
+    }
+    let changed = send_command(&addrs[1], "set team crew max_programs=70").await;
+    assert!(matches!(changed, Some(Ok(_))), "{changed:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_whose_vm_leaves_or_vanishes_gets_no_new_work_after_the_grace_period() {
     let spec = Spec { engines: 3, ..Spec::default() };
--- a/crates/catkinshed/tests/staleness.rs
+++ b/crates/catkinshed/tests/staleness.rs
@@ -167,3 +167,27 @@
     /// Guards against the same where no delegate hears the key-value service.
     followers_of_only_cut_off_delegates_use_leaving_endpoints: leaving_endpoints_are_left_alone(3)
 }
+
+/// Guards against a watch that never learns of changes which an answer passed over: the key-value
+/// service told it of none, and named a revision after them.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_that_an_answer_of_a_watch_passed_over_are_lost() {
+    let endpoints = [
+        Endpoint::start("e-1", Behaviour::Respond).await,
+        Endpoint::start("e-2", Behaviour::Respond).await,
+    ];
+    let harness = Harness::start(BINARY, "passed-over", 1, &[&endpoints[0], &endpoints[1]]).await;
+    harness.faults.update(|state| state.kv.deaf = true);
+    harness.configure(&config_with(2, "added")).await;
+    harness.register(&endpoints[0], "draining").await;
+    // Every watch call that was open has been answered, without the changes.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    harness.faults.update(|state| state.kv.deaf = false);
+    tokio::time::sleep(APPLY_TIME).await;
+    let drained = endpoints[0].runs().len();
+    for number in 0..20 {
+        let response = harness.request(0, "/added/x", &format!("r-{number}"), &[]).await;
+        assert_eq!(response.status, 200, "request {number} for the new route");
+    }
+    assert_eq!(endpoints[0].runs().len(), drained, "requests reached the endpoint that left");
+}
