Do not pass over changes that an answer of a watch does not tell

What callers saw: 404 for a route whose configuration was confirmed seconds before, until the next version; requests at an endpoint that had left. In the programs role, a command that was accepted never took effect.

Cause: a watch went on from the revision that each answer names, also one that tells of no change. A service that discards its history tells watches nothing for a second; an answer that ends in that second names a revision after the changes, and the watch asked only for later ones. A delegate also told this revision to its followers, which then ignored the changes from other daemons.

Mend: sched::freshness::Position. An answer without changes moves the position only 3 s later, when a call that began after it has ended without these changes; the view counts as current up to the position. Until then the service either returns the changes or says that they are discarded, which leads to a new listing. Both roles use it.

--- a/crates/catkinshed/tests/staleness.rs
+++ b/crates/catkinshed/tests/staleness.rs
@@ -168,15 +168,22 @@
     followers_of_only_cut_off_delegates_use_leaving_endpoints: leaving_endpoints_are_left_alone(3)
 }
 
-/// Guards against a watch that never learns of changes which an answer passed over: the key-value
-/// service told it of none, and named a revision after them.
+/// Guards against watches that never learn of changes which their answers passed over: the key-value
+/// service told them of none, and named a revision after them.
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_that_an_answer_of_a_watch_passed_over_are_lost() {
     let endpoints = [
         Endpoint::start("e-1", Behaviour::Respond).await,
         Endpoint::start("e-2", Behaviour::Respond).await,
     ];
-    let harness = Harness::start(BINARY, "passed-over", 1, &[&endpoints[0], &endpoints[1]]).await;
+    let listed = [&endpoints[0], &endpoints[1]];
+    // Two daemons are no delegates, and learn what the delegates learn. They book the endpoints.
+    let (_, others) = split_delegates(DELEGATES + 2);
+    let strong: Vec<String> = others.iter().map(|number| format!("gate-{number}")).collect();
+    let harness = Harness::start_with(BINARY, "passed-over", DELEGATES + 2, &listed, |settings| {
+        settings.cpu_share = if strong.iter().any(|vm| *vm == settings.vm) { 1.0 } else { 0.1 };
+    })
+    .await;
     harness.faults.update(|state| state.kv.deaf = true);
     harness.configure(&config_with(2, "added")).await;
     harness.register(&endpoints[0], "draining").await;
@@ -184,10 +191,17 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     harness.faults.update(|state| state.kv.deaf = false);
     tokio::time::sleep(APPLY_TIME).await;
-    let drained = endpoints[0].runs().len();
-    for number in 0..20 {
-        let response = harness.request(0, "/added/x", &format!("r-{number}"), &[]).await;
-        assert_eq!(response.status, 200, "request {number} for the new route");
+    let before = endpoints[0].runs().len();
+    for daemon in 0..harness.daemons.len() {
+        for number in 0..20 {
+            let id = format!("r-{daemon}-{number}");
+            let response = harness.request(daemon, "/added/x", &id, &[]).await;
+            assert_eq!(response.status, 200, "{id} for the new route");
+        }
+        assert_eq!(
+            endpoints[0].runs().len(),
+            before,
+            "daemon {daemon} used the endpoint that left"
+        );
     }
-    assert_eq!(endpoints[0].runs().len(), drained, "requests reached the endpoint that left");
 }
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -23,7 +23,7 @@
 use platform::kv::{Client, Entry, Error, Event, Listing};
 use platform::{config, registry};
 use sched::fleet::Registration;
-use sched::freshness::{self, Role, Transit};
+use sched::freshness::{self, Position, Role, Transit};
 use sched::id::VmId;
 use sched::term::TermView;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -262,14 +262,15 @@
             return Ok(());
         }
         self.sync_status.set_watching(scope, true, "watching the key-value service");
-        let mut after = listing.revision;
+        let mut position = Position::new(listing.revision);
         while self.must_watch(Instant::now()) {
             let called = Instant::now();
-            let (events, revision) = self.kv.changes(prefix(scope), after, WATCH_WAIT).await?;
-            after = revision;
+            let (events, revision) =
+                self.kv.changes(prefix(scope), position.after(), WATCH_WAIT).await?;
+            position.advance(revision, !events.is_empty(), Instant::now());
             // Without changes, the service answers only after the wait.
             let waited = events.is_empty() && called.elapsed() >= WATCH_WAIT;
-            self.apply(scope, events, revision);
+            self.apply(scope, events, position.after());
             self.view.confirm(scope, if waited { called + WATCH_WAIT } else { called });
             if scope == Scope::Directory {
                 sleep_until((called + MIN_WATCH_INTERVAL).into()).await;
--- a/crates/sched/src/freshness.rs
+++ b/crates/sched/src/freshness.rs
@@ -16,6 +16,7 @@
 //! paused. [`Transit`] tells by how much longer than the fastest update of the same sender, and that
 //! counts as age too.
 
+use crate::id::Revision;
 use std::time::{Duration, Instant};
 
 /// Age up to which a view is current.
@@ -24,6 +25,51 @@
 /// acknowledgement; the rest of that time is for changing to another source of news.
 pub const MAX_AGE: Duration = Duration::from_millis(1_500);
 
+/// Time for which a watch that hears of no change does not rely on the revisions in its answers.
+///
+/// A service that discards its history may not tell a watch of changes for about a second.
+const WATCH_OVERLAP: Duration = Duration::from_secs(3);
+
+/// Revision after which the next call of a watch asks for changes.
+///
+/// An answer without changes may name a revision after changes that it does not tell. The position
+/// therefore follows such answers only after [`WATCH_OVERLAP`]: until then, a later call returns these
+/// changes, or fails if they were discarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    after: Revision,
+    /// Revision of an answer without changes, and the time of that answer.
+    unproven: Option<(Revision, Instant)>,
+}
+
+impl Position {
+    /// Creates the position after a listing at `revision`.
+    pub fn new(revision: Revision) -> Self {
+        Self { after: revision, unproven: None }
+    }
+
+    /// Returns the revision after which the next call asks for changes.
+    pub fn after(self) -> Revision {
+        self.after
+    }
+
+    /// Records an answer that names `revision`.
+    pub fn advance(&mut self, revision: Revision, has_changes: bool, now: Instant) {
+        if has_changes {
+            *self = Self::new(revision.max(self.after));
+            return;
+        }
+        match self.unproven {
+            Some((_, at)) if now.saturating_duration_since(at) < WATCH_OVERLAP => {}
+            Some((proven, _)) => {
+                self.after = proven.max(self.after);
+                self.unproven = Some((revision, now));
+            }
+            None => self.unproven = Some((revision, now)),
+        }
+    }
+}
+
 /// Time as of which a view, or a part of it, is confirmed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Freshness {
--- a/crates/sched/src/id.rs
+++ b/crates/sched/src/id.rs
@@ -22,6 +22,9 @@
 pub type ProgramId = CompactString;
 /// Id of one attempt of a client's request.
 pub type RequestId = CompactString;
+/// Revision of a key's last modification, or of the key-value service; 0 for a key that does not
+/// exist.
+pub type Revision = u64;
 /// Number of the run that generates an answer; generating it again from the beginning is a new run.
 pub type Run = u64;
 /// Position of a call in its program, from 1.
--- a/crates/sched/tests/freshness.rs
+++ b/crates/sched/tests/freshness.rs
@@ -1,6 +1,6 @@
 //! Ages of views, and the choice of the peers that news comes from.
 
-use sched::freshness::{Freshness, MAX_AGE, Role, Transit, choose_delegate, is_current};
+use sched::freshness::{Freshness, MAX_AGE, Position, Role, Transit, choose_delegate, is_current};
 use std::time::{Duration, Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -74,6 +74,38 @@
         assert_eq!(transit.delay(millis(600), now + millis(1_100)), millis(490));
     }
 
+    // Guards against a watch that goes on after changes that its answer passed over.
+    a_watch_stays_before_what_its_answers_may_have_passed_over(now) {
+        let mut position = Position::new(10);
+        for step in 0..3 {
+            position.advance(14, false, now + SECOND * step);
+            assert_eq!(position.after(), 10, "{step} s after the first answer");
+        }
+        // The call of this time returned nothing that was made before the first answer.
+        position.advance(15, false, now + SECOND * 3);
+        assert_eq!(position.after(), 14);
+        position.advance(15, false, now + SECOND * 6);
+        assert_eq!(position.after(), 15);
+    }
+
+    a_watch_goes_on_after_the_changes_that_it_got(now) {
+        let mut position = Position::new(10);
+        position.advance(12, false, now);
+        position.advance(14, true, now + SECOND);
+        assert_eq!(position.after(), 14);
+        // What the answers before the changes named does not count any more.
+        position.advance(16, false, now + SECOND * 4);
+        assert_eq!(position.after(), 14);
+    }
+
+    a_watch_never_goes_back(now) {
+        let mut position = Position::new(10);
+        position.advance(8, true, now);
+        position.advance(7, false, now + SECOND);
+        position.advance(7, false, now + SECOND * 5);
+        assert_eq!(position.after(), 10);
+    }
+
     two_subscriptions_never_use_one_delegate(_now) {
         for number in 0..40 {
             for failures in 0..7 {
