Wait less for changes after a call that returned some late

Cause: a call that returns changes confirms only what came before its start, since the answer may have been on its way for long. Two calls in a row that each got a change late in their second left the view unconfirmed for almost 2 s, beyond the 1.5 s up to which it counts as current.

Mend: sched::freshness::watch_wait. The next call waits only until what the watch knows is 1.2 s old, and at least 200 ms.

--- a/crates/catkinshed/tests/staleness.rs
+++ b/crates/catkinshed/tests/staleness.rs
@@ -205,3 +205,28 @@
         );
     }
 }
+
+/// Guards against a daemon that takes its view for old although it hears of every change at once,
+/// because each call of its watch returns a change late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_hears_of_every_change_at_once_takes_its_view_for_old() {
+    let endpoint = Endpoint::start("e-1", Behaviour::Respond).await;
+    let harness = Harness::start(BINARY, "hears", 1, &[&endpoint]).await;
+    let changes = async {
+        for version in 2..10 {
+            harness.configure(&config(version)).await;
+            tokio::time::sleep(Duration::from_millis(940)).await;
+        }
+    };
+    let requests = async {
+        let mut unconfirmed = 0;
+        for number in 0..140 {
+            let response = harness.request(0, "/missing/x", &format!("r-{number}"), &[]).await;
+            unconfirmed += usize::from(response.status != 404);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        unconfirmed
+    };
+    let ((), unconfirmed) = tokio::join!(changes, requests);
+    assert_eq!(unconfirmed, 0, "requests for which the daemon took its view for old");
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -211,6 +211,15 @@
         }
     }
 
+    /// Returns how long ago the watch of `scope` was last confirmed, or `None` if it never was.
+    pub fn watch_age(&self, scope: Scope, now: Instant) -> Option<Duration> {
+        let sources = self.sources();
+        match scope {
+            Scope::Configuration => sources.configuration_watch.age(now),
+            Scope::Directory => sources.directory_watch.age(now),
+        }
+    }
+
     /// Confirms the view with an update of a peer whose own view had this age when it sent it.
     pub fn confirm_by_peer(&self, age: Duration, now: Instant) {
         if let Some(at) = now.checked_sub(age) {
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -33,9 +33,6 @@
 
 /// Prefix that covers both registrations and members, whose keys have the same first letter.
 const DIRECTORY_PREFIX: &str = "s";
-/// Time for which a watch call waits for changes. A view that is confirmed by a watch without changes
-/// is at most about this old, which must be well below [`freshness::MAX_AGE`].
-const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Minimum pause before a failed watch is retried.
 const MIN_RETRY: Duration = Duration::from_millis(150);
 /// Maximum pause before a delegate retries a failed watch.
@@ -265,13 +262,13 @@
         let mut position = Position::new(listing.revision);
         while self.must_watch(Instant::now()) {
             let called = Instant::now();
-            let (events, revision) =
-                self.kv.changes(prefix(scope), position.after(), WATCH_WAIT).await?;
+            let wait = freshness::watch_wait(self.view.watch_age(scope, called));
+            let (events, revision) = self.kv.changes(prefix(scope), position.after(), wait).await?;
             position.advance(revision, !events.is_empty(), Instant::now());
             // Without changes, the service answers only after the wait.
-            let waited = events.is_empty() && called.elapsed() >= WATCH_WAIT;
+            let waited = events.is_empty() && called.elapsed() >= wait;
             self.apply(scope, events, position.after());
-            self.view.confirm(scope, if waited { called + WATCH_WAIT } else { called });
+            self.view.confirm(scope, if waited { called + wait } else { called });
             if scope == Scope::Directory {
                 sleep_until((called + MIN_WATCH_INTERVAL).into()).await;
             }
--- a/crates/sched/src/freshness.rs
+++ b/crates/sched/src/freshness.rs
@@ -25,11 +25,27 @@
 /// acknowledgement; the rest of that time is for changing to another source of news.
 pub const MAX_AGE: Duration = Duration::from_millis(1_500);
 
+/// Maximum time for which a watch call waits for changes.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Minimum time for which a watch call waits for changes.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(200);
+/// Age that a view may reach while a watch call waits; well below [`MAX_AGE`], as its followers'
+/// views are older.
+const MAX_WAITING_AGE: Duration = Duration::from_millis(1_200);
 /// Time for which a watch that hears of no change does not rely on the revisions in its answers.
 ///
 /// A service that discards its history may not tell a watch of changes for about a second.
 const WATCH_OVERLAP: Duration = Duration::from_secs(3);
 
+/// Returns how long the next watch call waits for changes if what it watches was confirmed `age` ago.
+///
+/// A call that returns changes confirms only what came before its start, so after one that returns
+/// them late the next one ends sooner.
+pub fn watch_wait(age: Option<Duration>) -> Duration {
+    let left = age.map_or(MAX_WATCH_WAIT, |age| MAX_WAITING_AGE.saturating_sub(age));
+    left.clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT)
+}
+
 /// Revision after which the next call of a watch asks for changes.
 ///
 /// An answer without changes may name a revision after changes that it does not tell. The position
--- a/crates/sched/tests/freshness.rs
+++ b/crates/sched/tests/freshness.rs
@@ -1,6 +1,8 @@
 //! Ages of views, and the choice of the peers that news comes from.
 
-use sched::freshness::{Freshness, MAX_AGE, Position, Role, Transit, choose_delegate, is_current};
+use sched::freshness::{
+    Freshness, MAX_AGE, Position, Role, Transit, choose_delegate, is_current, watch_wait,
+};
 use std::time::{Duration, Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -106,6 +108,17 @@
         assert_eq!(position.after(), 10);
     }
 
+    // Guards against a view that is taken for old because two calls in a row returned changes late.
+    a_view_stays_current_while_the_next_call_waits(_now) {
+        for millis in 0..1_000 {
+            let age = Duration::from_millis(millis);
+            let wait = watch_wait(Some(age));
+            assert!(age + wait < MAX_AGE, "{age:?} and {wait:?}");
+        }
+        assert_eq!(watch_wait(None), SECOND);
+        assert!(watch_wait(Some(SECOND * 60)) > Duration::ZERO);
+    }
+
     two_subscriptions_never_use_one_delegate(_now) {
         for number in 0..40 {
             for failures in 0..7 {
