--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -6,8 +6,12 @@
 //! everywhere, and lists those that answer by an older one.
 
 use crate::gateway_harness::{Harness, Partitionable, Response, config, route};
+use crate::process;
 use crate::script::{Behaviour, Endpoint};
 use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Number of daemons, as in a deployment of three data centres.
@@ -23,6 +27,11 @@
 /// Interval between two rounds of requests to all daemons.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after which a process with a limit on its processor time may run again.
+const CPU_PERIOD: Duration = Duration::from_millis(100);
+/// Time for which such a process runs.
+const CPU_SLICE: Duration = Duration::from_millis(30);
+
 /// Daemons, endpoints and the latest configuration of one test.
 pub struct Fleet {
     /// Daemons and their links.
@@ -77,6 +86,13 @@
         (0..self.network.harness.daemons.len()).filter(|number| !others.contains(number)).collect()
     }
 
+    /// Lets each daemon run for [`CPU_SLICE`] of each [`CPU_PERIOD`] only, until the returned value is
+    /// dropped.
+    pub fn limit_cpu(&self) -> CpuLimit {
+        let pids = self.network.harness.daemons.iter().map(|daemon| daemon.process.pid());
+        CpuLimit::start(pids.collect())
+    }
+
     /// Writes the next version of the configuration and returns the time of its acknowledgement.
     ///
     /// # Panics
@@ -143,6 +159,42 @@
     }
 }
 
+/// Limit on the processor time of processes, in effect until it is dropped.
+pub struct CpuLimit {
+    ended: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl CpuLimit {
+    fn start(pids: Vec<u32>) -> Self {
+        let ended = Arc::new(AtomicBool::new(false));
+        let (is_ended, step) = (ended.clone(), CPU_PERIOD / pids.len().max(1) as u32);
+        let running = CPU_SLICE.div_duration_f64(step) as usize;
+        let thread = std::thread::spawn(move || {
+            let mut next = 0;
+            while !is_ended.load(Ordering::Relaxed) {
+                // The slices of the processes follow each other.
+                process::signal(pids[next % pids.len()], libc::SIGCONT);
+                process::signal(pids[(next + pids.len() - running) % pids.len()], libc::SIGSTOP);
+                next += 1;
+                std::thread::sleep(step);
+            }
+            pids.iter().for_each(|pid| process::signal(*pid, libc::SIGCONT));
+        });
+        Self { ended, thread: Some(thread) }
+    }
+}
+
+impl Drop for CpuLimit {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread leaves the processes paused, which the test reports.
+            let _ = thread.join();
+        }
+    }
+}
+
 /// Returns version `version` of the configuration.
 ///
 /// The route `moved` uses the two services in turn, and the route `only-VERSION` exists only in this
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -89,13 +89,18 @@
         }
     }
 
-    fn signal(&self, signal: libc::c_int) {
-        // SAFETY: `kill` has no memory-safety preconditions. The child was started here and has not
-        // been reaped, so the id still refers to it.
-        unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
+    fn signal(&self, number: libc::c_int) {
+        signal(self.child.id(), number);
     }
 }
 
+/// Sends a signal to a process that was started here and has not been reaped, so that its id still
+/// refers to it.
+pub fn signal(pid: u32, number: libc::c_int) {
+    // SAFETY: `kill` has no memory-safety preconditions.
+    unsafe { libc::kill(pid as libc::pid_t, number) };
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
