Go on with a stream only with a response of its kind

What operators of similar systems saw: a stream broke off, the next engine answered with an error, and clients found the error's text in the middle of their stream, or the stream ended as if it were complete.

Here: a resumption that brought a status other than 2xx ended the stream as broken off. But any 2xx was taken for the rest of the stream: an error document with status 200, a 206, an event without a number, a head inside a body reached the client as events; a 200 or 204 without a body ended the stream as complete.

Mend: a response goes on with a stream only if it has the status and media type of the response whose head the client has, and it must begin with a numbered event. One without a length or chunks that ends before that counts as broken off.

--- a/crates/gateway/src/forward/exchange.rs
+++ b/crates/gateway/src/forward/exchange.rs
@@ -460,6 +460,19 @@
         self.attempt.on_failure(&registration.id, failure)
     }
 
+    /// Logs that a response to a request to go on with a stream is no part of the stream.
+    pub fn log_mismatch(&self, received: &EndpointResponse) {
+        let content_type = received.response.headers().get(http::header::CONTENT_TYPE);
+        log::warn!(
+            target: "resume",
+            request = self.request.metadata.id.as_str(),
+            endpoint = received.registration.id.as_str(),
+            status = received.response.status().as_u16(),
+            content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+            "the response does not go on with the stream"
+        );
+    }
+
     /// Logs that an endpoint responds to a request to go on with a stream.
     fn log_resumed(&self, registration: &Registration, resume_after: Option<u64>) {
         let metadata = &self.request.metadata;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,7 +3,8 @@
 //! Only whole events are forwarded, each as soon as it arrives. When an endpoint fails, the stream
 //! is resumed after the last forwarded event, within the same response to the client. Events that
 //! are received again are dropped, and a gap in their ids is treated like a failure of the
-//! endpoint. The relay does not read ahead: it fetches an event when the client's connection polls
+//! endpoint. A response that resumes a stream must have the status and the type of the first one, and
+//! begin with a numbered event: an error or another resource is no part of the stream. The relay does not read ahead: it fetches an event when the client's connection polls
 //! for one. When the client disconnects, the stream is dropped, which closes the connection to the
 //! endpoint.
 
@@ -12,9 +13,10 @@
 use crate::forward::{EndpointResponse, Exchange, Forwarder, WaitError, closes_connection};
 use crate::upstream::Connection;
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
+use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use platform::event::{Event, Splitter};
 use platform::header;
 use sched::attempt::Action;
@@ -30,6 +32,11 @@
     exchange: Exchange,
     keep_alive: Option<Duration>,
     closes: bool,
+    /// Whether the response has a length or chunks, so that its end differs from a break.
+    framed: bool,
+    /// Whether the response is known to belong to the stream: it began the stream, or has sent a
+    /// numbered event.
+    proven: bool,
 }
 
 /// Result of reading from the endpoint.
@@ -94,12 +101,24 @@
         let (parts, body) = response.into_parts();
         let keep_alive = header::keep_alive_timeout(&parts.headers);
         let closes = closes_connection(&parts.headers);
+        let framed =
+            body.size_hint().exact().is_some() || parts.headers.contains_key(TRANSFER_ENCODING);
         if !self.event_forwarded {
             self.status = parts.status;
             self.headers = header::end_to_end(&parts.headers);
         }
         self.splitter.clear();
-        self.source = Some(Source { body, connection, registration, exchange, keep_alive, closes });
+        let proven = !self.event_forwarded;
+        self.source = Some(Source {
+            body,
+            connection,
+            registration,
+            exchange,
+            keep_alive,
+            closes,
+            framed,
+            proven,
+        });
     }
 
     /// Returns the bytes of the next event, or `None` at the end of the stream.
@@ -126,6 +145,9 @@
                     Ok(()) => continue,
                     Err(error) => error.to_string(),
                 },
+                ReadOutcome::End if !source.proven && !source.framed => {
+                    "the response ended before an event".to_owned()
+                }
                 ReadOutcome::End if self.splitter.is_empty() => {
                     self.finish();
                     return None;
@@ -147,8 +169,15 @@
     ///
     /// # Errors
     ///
-    /// Returns a message when events before this one are missing.
+    /// Returns a message when events before this one are missing, or it is not an event of the
+    /// stream.
     fn accept(&mut self, event: Event) -> Result<Option<Bytes>, String> {
+        if let Some(source) = &mut self.source {
+            source.proven |= event.id.is_some();
+            if !source.proven {
+                return Err("the response does not begin with a numbered event".to_owned());
+            }
+        }
         if let Some(id) = event.id {
             let expected = self.last_event_id.map_or(id, |last| last + 1);
             if id < expected {
@@ -198,12 +227,33 @@
             Action::FailNotRun | Action::FailUnknown => return Err(Reason::Unknown),
         };
         let received = self.forwarder.send_with_retries(preferred, self.last_event_id).await?;
-        if !received.response.status().is_success() {
+        if !self.continues(&received.response) {
+            metrics::counter!("stream_resumptions_rejected_total").increment(1);
+            self.forwarder.log_mismatch(&received);
+            received.exchange.fail();
             return Err(Reason::Unknown);
         }
         self.attach(received);
         Ok(())
     }
+
+    /// Returns whether a response can go on with the stream: if the client has its head, it must be
+    /// of the same kind.
+    fn continues(&self, response: &Response<Incoming>) -> bool {
+        match self.event_forwarded {
+            true => {
+                response.status() == self.status
+                    && media_type(response.headers()) == media_type(&self.headers)
+            }
+            false => response.status().is_success(),
+        }
+    }
+}
+
+/// Returns the content type without its parameters.
+fn media_type(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    Some(value.split(';').next().unwrap_or(value).trim())
 }
 
 async fn read(forwarder: &Forwarder, source: &mut Source) -> ReadOutcome {
--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -74,6 +74,25 @@
     EndlessEvent,
     /// Streams one event, and then one byte of the next event after each pause of this length.
     Trickle(Duration),
+    /// Runs the request, sends these bytes, in which `{id}` stands for the request id, and closes the
+    /// connection.
+    Raw(String),
+    /// Sends bytes, in which `{id}` stands for the request id, and then handles the request.
+    Precede {
+        /// Bytes to send.
+        bytes: String,
+        /// How the request is handled.
+        then: Box<Behaviour>,
+    },
+    /// Handles the request, waits, and sends bytes while the connection is idle or in use again.
+    Follow {
+        /// How the request is handled.
+        first: Box<Behaviour>,
+        /// Time to wait.
+        pause: Duration,
+        /// Bytes to send.
+        bytes: String,
+    },
     /// Keeps the connection open for 60 s without responding, then closes it.
     NoResponse,
     /// Resets the connection without running the request, like an endpoint that is down.
@@ -376,6 +395,20 @@
                 }
                 Ok(false)
             }
+            Behaviour::Raw(bytes) => {
+                stream.write_all(bytes.replace("{id}", &run.id).as_bytes()).await?;
+                Ok(false)
+            }
+            Behaviour::Precede { bytes, then } => {
+                stream.write_all(bytes.replace("{id}", &run.id).as_bytes()).await?;
+                Box::pin(self.handle(stream, run, *then)).await
+            }
+            Behaviour::Follow { first, pause, bytes } => {
+                let keep_alive = Box::pin(self.handle(stream, run, *first)).await?;
+                tokio::time::sleep(pause).await;
+                stream.write_all(bytes.as_bytes()).await?;
+                Ok(keep_alive)
+            }
             Behaviour::NoResponse => {
                 self.closed_within(stream, run, Duration::from_secs(60)).await?;
                 Ok(false)
