Cancel a turn whose response breaks off in its head

What operators of similar systems saw: an engine stopped in the middle of its response's head.

Mend: endpoint::engine says Unreachable only where no connection was made, as the client of services does.

--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -21,13 +21,14 @@
 /// A failed request to an engine.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The HTTP request failed before the response headers arrived.
-    #[error("failed to reach the engine: {0}")]
+    /// The connection could not be made, so the engine did not run the request.
+    #[error("failed to connect to the engine: {0}")]
     Unreachable(String),
     /// The engine rejected the request with this HTTP status.
     #[error("the engine rejected the request with status {0}")]
     Rejected(u16),
-    /// The response was interrupted or could not be decoded.
+    /// The response was interrupted, in its head or later, or could not be decoded. The engine may run
+    /// the request.
     #[error("the engine's response was interrupted or invalid: {0}")]
     Interrupted(String),
 }
@@ -97,7 +98,7 @@
         request: &CompletionRequest,
     ) -> Result<impl Stream<Item = Result<Event, Error>> + use<>, Error> {
         let url = format!("{}/v1/completions", self.base_url);
-        let response = self.http.post(url).json(request).send().await.map_err(unreachable_error)?;
+        let response = self.http.post(url).json(request).send().await.map_err(send_error)?;
         if !response.status().is_success() {
             return Err(Error::Rejected(response.status().as_u16()));
         }
@@ -139,14 +140,14 @@
 
     async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         let request = self.http.get(format!("{}/{path}", self.base_url)).timeout(CONTROL_TIMEOUT);
-        let response = request.send().await.map_err(unreachable_error)?;
+        let response = request.send().await.map_err(send_error)?;
         response.json().await.map_err(|error| Error::Interrupted(error.to_string()))
     }
 
     async fn delete(&self, path: &str) -> Result<reqwest::Response, Error> {
         let request =
             self.http.delete(format!("{}/{path}", self.base_url)).timeout(CONTROL_TIMEOUT);
-        let response = request.send().await.map_err(unreachable_error)?;
+        let response = request.send().await.map_err(send_error)?;
         match response.status().is_success() {
             true => Ok(response),
             false => Err(Error::Rejected(response.status().as_u16())),
@@ -157,8 +158,12 @@
 /// Timeout of requests that run no model.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
-fn unreachable_error(error: reqwest::Error) -> Error {
-    Error::Unreachable(error.to_string())
+/// Returns the error for a request that failed before its response headers arrived.
+fn send_error(error: reqwest::Error) -> Error {
+    match error.is_connect() {
+        true => Error::Unreachable(error.to_string()),
+        false => Error::Interrupted(error.to_string()),
+    }
 }
 
 /// Decodes a byte stream of server-sent events.
--- a/crates/testing/src/cluster.rs
+++ b/crates/testing/src/cluster.rs
@@ -4,6 +4,7 @@
 use crate::faults::Injector;
 use crate::kv::{self, Kv};
 use crate::net;
+use crate::proxy::Proxy;
 use crate::service::Service;
 use crate::vms::Vms;
 use catkinshed::settings::{InjectedFault, Keys, Limits, Platform, Settings};
@@ -14,6 +15,7 @@
 use sched::config::{Account, Action, Change, Edit, Endpoint, Kind, Pool, Team};
 use sched::id::{LogId, Tokens};
 use sched::queue::Policy;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Token of callers of the team `crew`.
@@ -54,6 +56,8 @@
     pub pool: Pool,
     /// Faults injected into the daemons.
     pub injected: IndexSet<InjectedFault>,
+    /// Whether daemons reach the endpoints through proxies.
+    pub proxied: bool,
 }
 
 impl Default for Spec {
@@ -71,6 +75,7 @@
             budget: 10_000_000,
             pool: Pool { model: "planner".into(), ..Pool::default() },
             injected: IndexSet::new(),
+            proxied: false,
         }
     }
 }
@@ -91,6 +96,8 @@
     pub services: Vec<Service>,
     /// Statistics of all engines.
     pub engine_stats: SharedStats,
+    /// Proxies in front of the endpoints by name, if there are any.
+    pub links: IndexMap<CompactString, Proxy>,
 }
 
 impl Cluster {
@@ -123,7 +130,16 @@
             state: State::Live,
         });
         let vms = Vms::start(vms.collect(), spec.vm_lag).await;
-        let cluster = Self { spec, faults, kv, vms, engines, services, engine_stats };
+        let mut links = IndexMap::new();
+        if spec.proxied {
+            let engines = engines.iter().map(|engine| (engine.name.clone(), engine.server.addr));
+            let services =
+                services.iter().map(|service| (service.name.clone(), service.server.addr));
+            for (name, addr) in engines.chain(services) {
+                links.insert(name, Proxy::start(addr).await);
+            }
+        }
+        let cluster = Self { spec, faults, kv, vms, engines, services, engine_stats, links };
         cluster.write_config().await;
         cluster
     }
@@ -165,7 +181,7 @@
             let endpoint = Endpoint {
                 kind: Kind::Engine,
                 pool: "models".into(),
-                addr: format_compact!("{}", engine.server.addr),
+                addr: self.addr_of(&engine.name, engine.server.addr),
                 vm: vm_of(&engine.name),
                 dc: dc_of(index),
                 slots: self.spec.engine.slots,
@@ -178,7 +194,7 @@
             let endpoint = Endpoint {
                 kind: Kind::Service,
                 pool: "booking".into(),
-                addr: format_compact!("{}", service.server.addr),
+                addr: self.addr_of(&service.name, service.server.addr),
                 vm: vm_of(&service.name),
                 dc: dc_of(self.engines.len() + index),
                 slots: 64,
@@ -189,6 +205,11 @@
         actions
     }
 
+    /// Returns the address at which daemons reach the endpoint `name`.
+    fn addr_of(&self, name: &str, addr: SocketAddr) -> CompactString {
+        format_compact!("{}", self.links.get(name).map_or(addr, |link| link.addr))
+    }
+
     /// Returns the settings of the daemon with the given index, with unused addresses.
     pub fn settings(&self, index: usize) -> Settings {
         Settings {
--- a/crates/testing/src/proxy.rs
+++ b/crates/testing/src/proxy.rs
@@ -2,11 +2,14 @@
 //!
 //! A stall holds bytes back and forwards them when it ends, like a network that loses packets and
 //! retransmits them. A blackhole is permanent: connections opened before it never forward another
-//! byte, while new ones work.
+//! byte, while new ones work. A [`Spoil`] changes the next responses to POST requests.
 
 use crate::net;
 use socket2::SockRef;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -32,6 +35,16 @@
     StallBoth,
 }
 
+/// Change of the response to one POST request, on its first bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Spoil {
+    /// Forwards only this many bytes, and closes the connection.
+    Truncate(usize),
+    /// Sends these bytes before the response if the connection has carried a request before, else
+    /// waits for such a connection.
+    PrecedeOnKept(Vec<u8>),
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
     ToServer,
@@ -74,6 +87,7 @@
     /// Address that the proxy listens on.
     pub addr: SocketAddr,
     state: watch::Sender<State>,
+    spoils: Arc<Mutex<VecDeque<Spoil>>>,
 }
 
 impl Proxy {
@@ -85,7 +99,7 @@
     pub async fn start(target: SocketAddr) -> Self {
         let addr = net::free_addr();
         let listener = TcpListener::bind(addr).await.expect("failed to bind the proxy");
-        let proxy = Self { addr, state: watch::Sender::default() };
+        let proxy = Self { addr, state: watch::Sender::default(), spoils: Arc::default() };
         tokio::spawn(proxy.clone().accept(listener, target));
         proxy
     }
@@ -95,6 +109,30 @@
         self.state.send_modify(|state| state.fault = fault);
     }
 
+    /// Changes the responses to the next POST requests, in order.
+    pub fn spoil(&self, spoils: impl IntoIterator<Item = Spoil>) {
+        self.lock_spoils().extend(spoils);
+    }
+
+    /// Returns the number of responses that are still to be changed.
+    pub fn unspoiled(&self) -> usize {
+        self.lock_spoils().len()
+    }
+
+    fn lock_spoils(&self) -> std::sync::MutexGuard<'_, VecDeque<Spoil>> {
+        self.spoils.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the change of a response on a connection, which is kept if it carried one before.
+    fn take_spoil(&self, kept: bool) -> Option<Spoil> {
+        let mut spoils = self.lock_spoils();
+        let applies = match spoils.front()? {
+            Spoil::Truncate(_) => true,
+            Spoil::PrecedeOnKept(_) => kept,
+        };
+        applies.then(|| spoils.pop_front())?
+    }
+
     /// Stops forwarding on all current connections, permanently and without closing them.
     pub fn blackhole(&self) {
         self.state.send_modify(|state| state.blackholed_below = state.next_connection);
@@ -112,68 +150,97 @@
                 number = state.next_connection;
                 state.next_connection += 1;
             });
-            let state = self.state.subscribe();
+            let proxy = self.clone();
             tokio::spawn(async move {
                 // If the connection to the server fails, the client's connection is closed.
                 if let Ok(server) = TcpStream::connect(target).await {
-                    forward_connection(client, server, number, state).await;
+                    proxy.forward_connection(client, server, number).await;
                 }
             });
         }
     }
-}
 
-async fn forward_connection(
-    mut client: TcpStream,
-    mut server: TcpStream,
-    number: u64,
-    mut state: watch::Receiver<State>,
-) {
-    // Fails only on connections that are already closed.
-    let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let (to_server_state, to_client_state) = (state.clone(), state.clone());
-    let reset = {
-        let (from_client, to_client) = client.split();
-        let (from_server, to_server) = server.split();
-        let forwarding = async {
-            tokio::join!(
-                forward_bytes(from_client, to_server, Direction::ToServer, number, to_server_state),
-                forward_bytes(from_server, to_client, Direction::ToClient, number, to_client_state),
-            )
+    async fn forward_connection(self, mut client: TcpStream, mut server: TcpStream, number: u64) {
+        // Fails only on connections that are already closed.
+        let _ = (client.set_nodelay(true), server.set_nodelay(true));
+        let mut state = self.state.subscribe();
+        let connection = Connection { proxy: self, number, awaited: AtomicBool::default() };
+        let reset = {
+            let (from_client, to_client) = client.split();
+            let (from_server, to_server) = server.split();
+            let forwarding = async {
+                tokio::join!(
+                    connection.forward_bytes(from_client, to_server, Direction::ToServer),
+                    connection.forward_bytes(from_server, to_client, Direction::ToClient),
+                )
+            };
+            tokio::select! {
+                _ = forwarding => false,
+                changed = state.wait_for(|state| number < state.reset_below) => changed.is_ok(),
+            }
         };
-        tokio::select! {
-            _ = forwarding => false,
-            changed = state.wait_for(|state| number < state.reset_below) => changed.is_ok(),
-        }
-    };
-    if reset {
-        for stream in [&client, &server] {
-            // Closing with a zero linger time sends a reset.
-            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        if reset {
+            for stream in [&client, &server] {
+                // Closing with a zero linger time sends a reset.
+                let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+            }
         }
     }
 }
 
-/// Forwards bytes in one direction until either side closes the connection.
-async fn forward_bytes(
-    mut from: ReadHalf<'_>,
-    mut to: WriteHalf<'_>,
-    direction: Direction,
+/// One connection through a proxy.
+struct Connection {
+    proxy: Proxy,
     number: u64,
-    mut state: watch::Receiver<State>,
-) {
-    let mut buffer = vec![0; BUFFER_BYTES];
-    loop {
-        let count = from.read(&mut buffer).await.unwrap_or(0);
-        let delay = match state.wait_for(|state| state.forwards(direction, number)).await {
-            Ok(state) => state.delay(),
-            Err(_) => return,
-        };
-        tokio::time::sleep(delay).await;
-        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
-            // The receiving side may already have closed its connection.
-            let _ = to.shutdown().await;
-            return;
+    /// Whether the response to a POST request is to begin.
+    awaited: AtomicBool,
+}
+
+impl Connection {
+    /// Forwards bytes in one direction until either side closes the connection.
+    async fn forward_bytes(
+        &self,
+        mut from: ReadHalf<'_>,
+        mut to: WriteHalf<'_>,
+        direction: Direction,
+    ) {
+        let mut state = self.proxy.state.subscribe();
+        let mut buffer = vec![0; BUFFER_BYTES];
+        let mut kept = false;
+        loop {
+            let mut count = from.read(&mut buffer).await.unwrap_or(0);
+            let forwards = |state: &State| state.forwards(direction, self.number);
+            let delay = match state.wait_for(forwards).await {
+                Ok(state) => state.delay(),
+                Err(_) => return,
+            };
+            tokio::time::sleep(delay).await;
+            let mut truncated = false;
+            match direction {
+                Direction::ToServer if buffer[..count].starts_with(b"POST ") => {
+                    self.awaited.store(true, Ordering::Relaxed);
+                }
+                Direction::ToClient if self.awaited.swap(false, Ordering::Relaxed) => {
+                    match self.proxy.take_spoil(kept) {
+                        Some(Spoil::Truncate(length)) => {
+                            count = count.min(length);
+                            truncated = true;
+                        }
+                        Some(Spoil::PrecedeOnKept(bytes)) => {
+                            // The next write fails as well if this one does.
+                            let _ = to.write_all(&bytes).await;
+                        }
+                        None => {}
+                    }
+                }
+                Direction::ToServer | Direction::ToClient => {}
+            }
+            kept = true;
+            if count == 0 || to.write_all(&buffer[..count]).await.is_err() || truncated {
+                // The receiving side may already have closed its connection.
+                let _ = to.shutdown().await;
+                return;
+            }
         }
     }
 }
