Use each connection to an endpoint for one request in the programs role

What operators of similar systems saw: a faulty engine wrote an earlier refusal once more on a kept connection, and it was taken for the response to the next request.

Here, programs role: a call to a service got the response that the service had written once more on the kept connection: with 429 it ended as failed, with 503 as unknown, with 200 with the text of another call, while the service ran it. None of them says 'not run', and a call that is not idempotent was not run again. The gateway compares the request id of each response first (misplaced_responses.rs).

Mend: the response of a service or engine does not name its request, so a connection that carried a request before is not used for another one.

--- a/crates/catkinshed/src/daemon.rs
+++ b/crates/catkinshed/src/daemon.rs
@@ -170,6 +170,9 @@
     let http = reqwest::Client::builder()
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
+        // Responses of endpoints do not name their requests. On a connection that carried another
+        // request before, one that comes once more would be taken for the response.
+        .pool_max_idle_per_host(0)
         .build()
         .context("failed to create the HTTP client")?;
     Ok(Shared {
