List the configuration consistently

What callers saw: a daemon that starts again sends requests of a moved route to the former service, seconds after the configuration that moves it was confirmed.

Cause: a daemon that is no delegate began with stale listings, which may be seconds old, and served requests by what they said. Its watch, which brings what they miss, begins up to 0.4 s later, as it waits for an update of a delegate first. A daemon whose delegates hear nothing falls back to the same listing.

Mend: the configuration, which is one key, is listed consistently, so the daemon that lists it has every change that was acknowledged before. The directory, which is large, is still listed stale. Cost: one read instead of a tenth of one, once for each start or lapse of a daemon that is no delegate.

--- a/crates/catkinshed/tests/fleet_configuration.rs
+++ b/crates/catkinshed/tests/fleet_configuration.rs
@@ -9,8 +9,8 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_catkinshed");
 /// Time after the acknowledgement of a configuration within which it takes effect.
 const APPLY_TIME: Duration = Duration::from_millis(3_000);
-/// Time after the acknowledgement until which daemons are asked.
-const ASK_UNTIL: Duration = Duration::from_millis(6_000);
+/// Time for which daemons are asked.
+const ASK_TIME: Duration = Duration::from_millis(3_000);
 /// Time between the start of a disruption and the change of the configuration.
 const LEAD_TIME: Duration = Duration::from_millis(300);
 /// Time in which daemons get back in touch after a disruption.
@@ -137,7 +137,7 @@
         let quota = matches!(disruption, Disruption::Quota).then(|| fleet.limit_cpu());
         proceed(&mut fleet, *disruption, &affected).await;
         let calm = fleet.all_but(&affected);
-        let late = fleet.find_late(&calm, acknowledged, APPLY_TIME, ASK_UNTIL).await;
+        let late = fleet.find_late(&calm, acknowledged, APPLY_TIME, ASK_TIME).await;
         drop(quota);
         end(&mut fleet, *disruption, &affected);
         let daemons: IndexSet<usize> = late.iter().map(|late| late.daemon).collect();
--- a/crates/catkinshed/tests/staleness.rs
+++ b/crates/catkinshed/tests/staleness.rs
@@ -230,3 +230,43 @@
     let ((), unconfirmed) = tokio::join!(changes, requests);
     assert_eq!(unconfirmed, 0, "requests for which the daemon took its view for old");
 }
+
+/// Guards against a daemon that starts again and follows a former configuration from a stale listing
+/// until its watch begins.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_again_uses_a_former_configuration() {
+    let [former, next] = [
+        Endpoint::start("e-1", Behaviour::Respond).await,
+        Endpoint::start("e-2", Behaviour::Respond).await,
+    ];
+    let harness = Harness::without_daemons("again").await;
+    harness.register(&former, "ready").await;
+    harness.register_at(&next.id, "t", next.addr, "ready").await;
+    harness.configure(&config(1)).await;
+    let mut fleet = Partitionable::launch(BINARY, harness, DELEGATES + 1, |_, settings| {
+        // Before a daemon knows the members, it takes the seeds for the delegates.
+        let own = settings.public_addr();
+        settings.seeds.retain(|seed| *seed != own);
+    })
+    .await;
+    let (_, others) = split_delegates(DELEGATES + 1);
+    fleet.harness.daemons[others[0]].process.kill();
+    let mut moved = config(2);
+    moved["routes"] = serde_json::json!([route("safe", "safe", "t", 2)]);
+    moved["services"] = serde_json::json!([{ "name": "s" }, { "name": "t" }]);
+    fleet.harness.configure(&moved).await;
+    tokio::time::sleep(APPLY_TIME).await;
+    // It learns from the key-value service alone.
+    fleet.peer_links.iter().for_each(|link| link.set_fault(testing::proxy::Fault::StallBoth));
+    fleet.harness.faults.update(|state| state.kv.stale_by = APPLY_TIME * 2);
+    fleet.harness.daemons[others[0]].restart();
+    fleet.harness.daemons[others[0]].ready().await;
+    for number in 0..40 {
+        let id = format!("r-{number}");
+        let response = fleet.harness.request(others[0], "/safe/x", &id, &[]).await;
+        assert_eq!(response.status, 200, "{id}");
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    let late: Vec<String> = former.runs().into_iter().map(|run| run.id).collect();
+    assert!(late.is_empty(), "requests at the former service: {late:?}");
+}
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -133,9 +133,14 @@
 /// Number of members per additional delegate in a large fleet.
 const MEMBERS_PER_DELEGATE: usize = 48;
 
+/// Returns the number of members that watch the key-value service on behalf of the others.
+pub fn delegate_count(members: usize) -> usize {
+    MIN_DELEGATES + members / MEMBERS_PER_DELEGATE
+}
+
 /// Returns the addresses of the members that watch the key-value service on behalf of the others.
 pub fn delegates(live: &IndexMap<VmId, Member>) -> Vec<CompactString> {
-    let count = MIN_DELEGATES + live.len() / MEMBERS_PER_DELEGATE;
+    let count = delegate_count(live.len());
     let mut ranked: Vec<&Member> = live.values().collect();
     ranked.sort_by_key(|member| std::cmp::Reverse(members::weight(&"delegate", &member.vm)));
     ranked.into_iter().take(count).map(|member| member.addr.clone()).collect()
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -56,10 +56,8 @@
 /// Where this daemon got a configuration from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
-    /// A listing of the key-value service that is current.
+    /// A listing of the key-value service.
     Listing,
-    /// A listing of the key-value service that may be out of date.
-    StaleListing,
     /// A watch of the key-value service.
     Watch,
     /// The peer at this address.
@@ -71,7 +69,6 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Listing => "listing",
-            Self::StaleListing => "stale_listing",
             Self::Watch => "watch",
             Self::Peer(_) => "peer",
         }
@@ -81,7 +78,7 @@
     pub fn peer(&self) -> &str {
         match self {
             Self::Peer(addr) => addr,
-            Self::Listing | Self::StaleListing | Self::Watch => "",
+            Self::Listing | Self::Watch => "",
         }
     }
 
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -237,16 +237,17 @@
         pause: &mut Duration,
     ) -> Result<(), Error> {
         let called = Instant::now();
-        let (listing, is_current) = match consistency {
-            Consistency::Stale if !self.is_delegate() => (self.list_stale(scope).await?, false),
-            Consistency::Stale | Consistency::Current => {
-                (self.kv.list(prefix(scope), "").await?, true)
+        let (listing, is_current) = match (scope, consistency) {
+            // A former configuration would be used until the first answer of the watch.
+            (Scope::Directory, Consistency::Stale) if !self.is_delegate() => {
+                (self.list_stale(scope).await?, false)
             }
+            _ => (self.kv.list(prefix(scope), "").await?, true),
         };
         match scope {
             Scope::Configuration => {
-                let source = if is_current { Source::Listing } else { Source::StaleListing };
-                listing.entries.iter().for_each(|entry| self.apply_configuration(entry, &source))
+                let entries = listing.entries.iter();
+                entries.for_each(|entry| self.apply_configuration(entry, &Source::Listing))
             }
             Scope::Directory => self.replace(&listing.entries, listing.revision),
         }
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -16,8 +16,6 @@
 
 /// Number of daemons, as in a deployment of three data centres.
 pub const DAEMONS: usize = 58;
-/// Number of delegates of a fleet of this size.
-const DELEGATES: usize = 4;
 /// Data centres of the daemons.
 const DATA_CENTRES: [&str; 3] = ["dc-1", "dc-2", "dc-3"];
 /// Number of routes in a configuration that no request uses.
@@ -77,7 +75,7 @@
         let rank = |number: &usize| sched::members::weight(&"delegate", &format!("gate-{number}"));
         let mut delegates: Vec<usize> = (0..count).collect();
         delegates.sort_by_key(|number| std::cmp::Reverse(rank(number)));
-        delegates.truncate(DELEGATES);
+        delegates.truncate(gateway::members::delegate_count(count));
         Self { network, delegates, endpoints, version: 1, round: 0 }
     }
 
@@ -105,7 +103,7 @@
     }
 
     /// Asks `daemons` for the routes that the latest version, acknowledged at `acknowledged`, moved,
-    /// dropped or added, from `apply` until `until` after it.
+    /// dropped or added, from `apply` after it and for `duration`.
     ///
     /// Returns the requests that were handled as only an older version allows.
     pub async fn find_late(
@@ -113,11 +111,11 @@
         daemons: &[usize],
         acknowledged: Instant,
         apply: Duration,
-        until: Duration,
+        duration: Duration,
     ) -> Vec<Late> {
         let mut late = Vec::new();
         tokio::time::sleep_until((acknowledged + apply).into()).await;
-        while acknowledged.elapsed() < until {
+        while acknowledged.elapsed() < apply + duration {
             let next = Instant::now() + ROUND_INTERVAL;
             let after = acknowledged.elapsed();
             self.round += 1;
