--- a/crates/testing/src/script.rs
+++ b/crates/testing/src/script.rs
@@ -82,12 +82,12 @@
         /// Bytes to send.
         bytes: String,
         /// How the request is handled.
-        then: Box<Behaviour>,
+        then: Box<Self>,
     },
     /// Handles the request, waits, and sends bytes while the connection is idle or in use again.
     Follow {
         /// How the request is handled.
-        first: Box<Behaviour>,
+        first: Box<Self>,
         /// Time to wait.
         pause: Duration,
         /// Bytes to send.
