--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet/mod.rs
@@ -5,6 +5,8 @@
 //! one. [`Fleet::find_late`] asks each daemon for these routes once the version must be in force
 //! everywhere, and lists those that answer by an older one.
 
+pub mod campaign;
+
 use crate::gateway_harness::{Harness, Partitionable, Response, config, route};
 use crate::process;
 use crate::script::{Behaviour, Endpoint};
@@ -22,6 +24,8 @@
 const UNUSED_ROUTES: u64 = 60;
 /// Services between which the routes move.
 const SERVICES: [&str; 2] = ["even", "odd"];
+/// Time after which a request without a response is given up.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between two rounds of requests to all daemons.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -128,6 +132,22 @@
         late
     }
 
+    /// Returns the version that a daemon uses, found by the route that exists only in it, or `None` if
+    /// none of `newest` and the four versions before answers.
+    async fn find_used(&self, daemon: usize, newest: u64) -> Option<u64> {
+        let versions = newest.saturating_sub(4).max(1)..=newest;
+        let asked = versions.map(|version| async move {
+            let path = format!("/only-{version}/");
+            let id = format!("used-{version}-{daemon}-{}", self.round);
+            let harness = &self.network.harness;
+            let request = harness.try_request(daemon, &path, &id, ASK_TIMEOUT);
+            (version, request.await.is_some_and(|response| response.status == 200))
+        });
+        let answers = futures::future::join_all(asked).await;
+        // The daemon may change to a newer version in between.
+        answers.into_iter().filter(|(_, is_served)| *is_served).map(|(version, _)| version).max()
+    }
+
     /// Asks one daemon for the changed routes and returns what it did by an older version.
     async fn ask(&self, daemon: usize) -> Vec<(usize, String)> {
         let (version, round) = (self.version, self.round);
--- a/crates/testing/src/gateway_harness.rs
+++ b/crates/testing/src/gateway_harness.rs
@@ -370,6 +370,28 @@
         parse_response(&bytes)
     }
 
+    /// Sends a safe request and returns the response, or `None` if none arrives within `timeout`.
+    pub async fn try_request(
+        &self,
+        daemon: usize,
+        path: &str,
+        id: &str,
+        timeout: Duration,
+    ) -> Option<Response> {
+        let exchange = async {
+            let addr = self.daemons[daemon].settings.client_addr;
+            let mut stream = TcpStream::connect(addr).await.ok()?;
+            let head = format!(
+                "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nConnection: close\r\n\r\n"
+            );
+            stream.write_all(head.as_bytes()).await.ok()?;
+            let mut bytes = Vec::new();
+            stream.read_to_end(&mut bytes).await.ok()?;
+            Some(parse_response(&bytes))
+        };
+        tokio::time::timeout(timeout, exchange).await.ok()?
+    }
+
     /// Sends a request like [`Harness::request`] and returns the connection without reading the
     /// response.
     ///
