--- a/crates/catkinshed/tests/configuration.rs
+++ b/crates/catkinshed/tests/configuration.rs
@@ -4,6 +4,7 @@
 use operator::api::{Failure, Request, Response};
 use platform::vms::State;
 use sched::id::Version;
+use serde_json::{Value, json};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use testing::check::{self, Evidence};
@@ -231,8 +232,20 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endpoint_whose_vm_leaves_or_vanishes_gets_no_new_work_after_the_grace_period() {
+    leaving_vms_get_no_new_work("leaving", &[]).await;
+}
+
+/// Guards against a VM list that is ignored because of one entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_entry_hides_the_vms_that_leave() {
+    let odd = [json!({ "name": "vm-odd", "dc": "dc-a", "state": "moving" }), json!(7), json!({})];
+    leaving_vms_get_no_new_work("odd-vms", &odd).await;
+}
+
+async fn leaving_vms_get_no_new_work(name: &str, odd_entries: &[Value]) {
     let spec = Spec { engines: 3, ..Spec::default() };
-    let fleet = Fleet::start(BINARY, "leaving", spec, 2).await;
+    let fleet = Fleet::start(BINARY, name, spec, 2).await;
+    fleet.cluster.vms.add_odd(odd_entries.iter().cloned());
     let addrs = fleet.addrs();
     let load = load::Spec { seed: 61, clients: 8, programs: 6, ..load::Spec::default() };
     let clients = tokio::spawn(async move { load::run(&load, &addrs).await });
