Hide owner changes from an unfenced daemon also after a pause between watches

Cause: the fault hides changes of owners while a watch runs, for 1 s, and then for another second until the next listing shows them. A daemon that is paused in that second lists at once when it is resumed, learns of the new owners and stops serving before a client reaches it. On a busy machine the calls that the test waits for come later, after the first second, so the pause falls there.

Change, in the injected fault only: a listing that takes logs away from the daemon is held back for the same second.

--- a/crates/catkinshed/src/traffic/watch.rs
+++ b/crates/catkinshed/src/traffic/watch.rs
@@ -41,11 +41,13 @@
     routes: &Routes,
     unfenced_vm: Option<&VmId>,
 ) -> Result<(), Error> {
-    let listing = kv.list(keys::LIVE, "").await?;
-    let mut table = Table::default();
-    for entry in &listing.entries {
-        put(&mut table, entry);
+    let mut listing = kv.list(keys::LIVE, "").await?;
+    if unfenced_vm.is_some_and(|vm| takes_logs_from(vm, &routes.table(), &listing.entries)) {
+        // A daemon that was paused between two watches would learn of the new owners at once.
+        tokio::time::sleep(OWNER_CHANGE_DELAY).await;
+        listing = kv.list(keys::LIVE, "").await?;
     }
+    let table = table_of(&listing.entries);
     routes.update(|current| *current = table);
     let watch = kv.watch(keys::LIVE, listing.revision, |events, _| {
         routes.update(|table| {
@@ -64,6 +66,20 @@
     watch.await
 }
 
+/// Returns the table that a listing describes.
+fn table_of(entries: &[Entry]) -> Table {
+    let mut table = Table::default();
+    entries.iter().for_each(|entry| put(&mut table, entry));
+    table
+}
+
+/// Returns whether a listing names other owners for logs that `vm` owns according to `table`.
+fn takes_logs_from(vm: &str, table: &Table, entries: &[Entry]) -> bool {
+    let listed = table_of(entries);
+    let mut owned = table.owners.iter().filter(|(_, owner)| owner.vm == vm);
+    owned.any(|(log, _)| listed.owners.get(log).is_none_or(|owner| owner.vm != vm))
+}
+
 /// Returns whether the injected fault hides an event, that is, a change of the owner key of a log
 /// which `unfenced_vm` owns according to `table`.
 fn is_hidden(table: &Table, event: &kv::Event, unfenced_vm: Option<&VmId>) -> bool {
