--- a/crates/catkinshed/tests/odd_entries.rs
+++ b/crates/catkinshed/tests/odd_entries.rs
@@ -130,6 +130,48 @@
     }
 }
 
+/// Guards against a daemon that drops its configuration for one that cannot be decoded or comes again
+/// in another form, or that follows none after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_cannot_be_decoded_takes_effect_or_hides_the_next_one() {
+    let endpoint = Endpoint::start("e-1", Behaviour::Respond).await;
+    let harness = Harness::start(BINARY, "undecodable", 1, &[&endpoint]).await;
+    let mut without_version = config(2);
+    without_version.as_object_mut().expect("an object").remove("version");
+    // The same version with other routes: the first one stays in force.
+    let mut again = config(1);
+    again["routes"] = json!([]);
+    let odd = [
+        json!("no configuration"),
+        without_version,
+        config_with(2, "priority", json!(4_000)),
+        config_with(2, "kind", json!(null)),
+        config_with(2, "timeout_ms", json!("soon")),
+        again,
+    ];
+    for (number, document) in odd.iter().enumerate() {
+        harness.configure(document).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let response = harness.request(0, "/safe/x", &format!("r-{number}"), &[]).await;
+        assert_eq!(response.status, 200, "{document}");
+    }
+    let url = format!("http://{}/metrics", harness.daemons[0].settings.probe_addr);
+    let metrics = reqwest::get(url).await.expect("no metrics").text().await.expect("no metrics");
+    let counted = |outcome: &str| {
+        let line = metrics
+            .lines()
+            .find(|line| line.starts_with("configurations_total") && line.contains(outcome));
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).unwrap_or_default()
+    };
+    assert_eq!((counted("undecodable"), counted("known")), (5.0, 1.0), "{metrics}");
+    let mut next = config(3);
+    next["routes"].as_array_mut().expect("routes").push(route("added", "safe", "s", 2));
+    harness.configure(&next).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let response = harness.request(0, "/added/x", "r-next", &[]).await;
+    assert_eq!(response.status, 200, "the configuration after them");
+}
+
 macro_rules! odd_headers {
     ($($(#[$doc:meta])* $name:ident: $header:expr;)*) => {
         $($(#[$doc])* #[tokio::test(flavor = "multi_thread")] async fn $name() {
--- a/crates/catkinshed/tests/staleness.rs
+++ b/crates/catkinshed/tests/staleness.rs
@@ -1,8 +1,10 @@
 //! Checks that a daemon whose view is out of date does not mislead the others.
 
 use std::time::{Duration, Instant};
-use testing::gateway_harness::{Harness, Partitionable, config, route};
+use testing::gateway_harness::{HOST, Harness, Partitionable, config, route};
 use testing::script::{Behaviour, Endpoint};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_catkinshed");
 /// Time after the acknowledgement of an endpoint's end within which requests may still reach it.
@@ -270,3 +272,33 @@
     let late: Vec<String> = former.runs().into_iter().map(|run| run.id).collect();
     assert!(late.is_empty(), "requests at the former service: {late:?}");
 }
+
+/// Guards against a daemon that follows no configuration any more while it stops, and serves connections
+/// that clients keep.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_stops_uses_a_former_configuration_on_kept_connections() {
+    let endpoint = Endpoint::start("e-1", Behaviour::Respond).await;
+    // The last daemon is no delegate.
+    let harness = Harness::start(BINARY, "stops", DELEGATES + 1, &[&endpoint]).await;
+    let (_, others) = split_delegates(DELEGATES + 1);
+    let stopping = &harness.daemons[others[0]];
+    let mut kept = TcpStream::connect(stopping.settings.client_addr).await.expect("no connection");
+    stopping.process.terminate();
+    let stopped_at = Instant::now();
+    harness.configure(&config_with(2, "added")).await;
+    let closes = Duration::from_millis(stopping.settings.limits.stop_close_ms);
+    tokio::time::sleep(APPLY_TIME).await;
+    let mut answered = 0;
+    while stopped_at.elapsed() + Duration::from_millis(300) < closes {
+        let head =
+            format!("GET /added/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r-{answered}\r\n\r\n");
+        kept.write_all(head.as_bytes()).await.expect("the connection is closed");
+        let mut response = [0; 1_024];
+        let length = kept.read(&mut response).await.expect("the connection is closed");
+        let response = String::from_utf8_lossy(&response[..length]);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{:?}: {response}", stopped_at.elapsed());
+        answered += 1;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    assert!(answered > 0, "the daemon stopped too early");
+}
