Hold back unannounced versions only of services with streams

What callers saw: 503 from a service without streams for as long as the announcement of a new version takes, up to 3 s if nobody can write it, when all its endpoints are of that version.

Cause: a daemon sends the first request to a new version only once the register of versions lists it, so that later daemons know every version that may have begun a stream. That held for plain services, too.

Mend: only services that a route sends streams to wait. What is held is decided again with each configuration, so a service that gets its first such route waits from then on. All versions are announced as before.

--- a/crates/catkinshed/tests/versions.rs
+++ b/crates/catkinshed/tests/versions.rs
@@ -1,7 +1,10 @@
 //! Checks that a stream goes on only at the software version that began it.
 
+use serde_json::json;
 use std::time::{Duration, Instant};
-use testing::gateway_harness::{Harness, Partitionable, Response, WAIT_TIMEOUT, streaming};
+use testing::gateway_harness::{
+    Harness, Partitionable, Response, WAIT_TIMEOUT, config, route, streaming,
+};
 use testing::script::{Behaviour, Endpoint};
 use tokio::io::AsyncReadExt;
 
@@ -325,3 +328,35 @@
     let ran = |endpoint: &Endpoint| endpoint.runs().iter().any(|run| run.id == request);
     endpoints.iter().position(ran).expect("a run")
 }
+
+/// Guards against requests that are refused because the version of the only endpoints is not announced
+/// yet, though their service has no streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_requests_wait_until_a_version_is_announced() {
+    let [former, next] = [
+        Endpoint::start("t-1", Behaviour::Respond).await,
+        Endpoint::start("t-2", Behaviour::Respond).await,
+    ];
+    let engine = Endpoint::start("e-1", streaming(EVENTS, EVENT_INTERVAL)).await;
+    let harness = Harness::start(BINARY, "plain-version", 1, &[&engine]).await;
+    harness.register_at(&former.id, "t", former.addr, "ready").await;
+    let mut plain = config(2);
+    plain["routes"][0] = route("safe", "safe", "t", 2);
+    harness.configure(&plain).await;
+    tokio::time::sleep(ANNOUNCE_TIME).await;
+    // Each write takes a while, also that of the announcement.
+    harness.faults.update(|state| state.kv.delay = Duration::from_millis(700));
+    former.stop();
+    let registration = json!({
+        "backend": "t", "address": next.addr.to_string(), "zone": "dc-1", "version": "v2",
+        "slots": 4, "state": "ready", "call_seq": 1, "born": 1,
+    });
+    harness.put(&format!("servers/{}", former.id), &registration).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for number in 0..10 {
+        let id = format!("r-{number}");
+        let response = harness.request(0, "/safe/x", &id, &["Deadline-Ms: 1000"]).await;
+        assert_eq!(response.status, 200, "{id}: {response:?}");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -147,7 +147,11 @@
     /// Holds back endpoints whose versions are not announced, once there is a register.
     fn hold_unannounced(&mut self, now: Instant) {
         if self.versions_revision > 0 {
-            self.fleet.hold_unannounced(&self.versions, now);
+            let with_streams = self.table.as_ref().map(|table| table.stream_services());
+            let has_streams = |service: &str| {
+                with_streams.as_ref().is_none_or(|services| services.contains(service))
+            };
+            self.fleet.hold_unannounced(&self.versions, has_streams, now);
         }
     }
 
@@ -378,13 +382,15 @@
     }
 
     /// Installs a configuration if it is newer than the current one; returns whether it was newer.
-    pub fn install_table(&self, table: Table, source: &Source) -> bool {
+    pub fn install_table(&self, table: Table, source: &Source, now: Instant) -> bool {
         let (version, routes) = (table.version, table.route_count());
         let previous = {
             let mut state = self.lock();
             let previous = state.table.as_ref().map(|current| current.version);
             if previous.is_none_or(|previous| previous < version) {
                 state.table = Some(Arc::new(table));
+                // A route may send streams to a service that had none.
+                state.hold_unannounced(now);
             }
             previous
         };
@@ -480,7 +486,7 @@
     /// The peer's configuration is installed if it is newer, whatever the revision of the view.
     pub fn merge(&self, view: Exported, source: &Source, now: Instant) -> bool {
         if let Some(table) = view.table {
-            self.install_table(table, source);
+            self.install_table(table, source, now);
         }
         if view.revision <= self.revision() {
             return false;
@@ -495,7 +501,7 @@
     /// The peer's configuration is installed if it is newer, whatever the revision of the changes.
     pub fn merge_changes(&self, changes: Changes, source: &Source, now: Instant) {
         if let Some(table) = changes.table {
-            self.install_table(table, source);
+            self.install_table(table, source, now);
         }
         if changes.revision > self.revision() {
             self.apply(changes.changes, changes.revision, now);
--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -382,7 +382,7 @@
     fn apply_configuration(&self, entry: &Entry, source: &Source) {
         if entry.key == config::KEY {
             match config::decode(&entry.value) {
-                Ok(table) => drop(self.view.install_table(table, source)),
+                Ok(table) => drop(self.view.install_table(table, source, Instant::now())),
                 Err(error) => {
                     source.count("undecodable");
                     let in_force = self.view.table().map(|table| table.version);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -207,10 +207,18 @@
     }
 
     /// Holds back the endpoints whose versions `register` does not list, see [`crate::versions`].
-    pub fn hold_unannounced(&mut self, register: &Register, now: Instant) {
+    ///
+    /// Only services for which `has_streams` returns true are concerned: no stream begins at the
+    /// others.
+    pub fn hold_unannounced(
+        &mut self,
+        register: &Register,
+        has_streams: impl Fn(&str) -> bool,
+        now: Instant,
+    ) {
         for endpoint in self.endpoints.values_mut() {
             let Registration { service, version, .. } = &endpoint.registration;
-            endpoint.held_until = match register.lists(service, version) {
+            endpoint.held_until = match register.lists(service, version) || !has_streams(service) {
                 true => None,
                 false => endpoint.held_until.or(Some(now + MAX_HOLD)),
             };
--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -8,7 +8,7 @@
 use crate::id::{ServiceId, Tokens, Version};
 use crate::members;
 use compact_str::CompactString;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -204,6 +204,12 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the services that routes send streams to.
+    pub fn stream_services(&self) -> IndexSet<&str> {
+        let routes = self.hosts.values().flatten().filter(|route| route.kind.is_stream());
+        routes.flat_map(|route| &route.targets).map(|target| target.service.as_str()).collect()
+    }
+
     /// Returns the number of routes of all hosts.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/sched/tests/versions.rs
+++ b/crates/sched/tests/versions.rs
@@ -41,6 +41,10 @@
     }
 }
 
+fn all(_service: &str) -> bool {
+    true
+}
+
 macro_rules! cases {
     ($($name:ident($now:ident) $body:block)*) => {
         $(#[test] fn $name() { let $now = Instant::now(); $body })*
@@ -128,23 +132,35 @@
             usable.collect::<Vec<_>>()
         };
         assert_eq!(usable(&fleet, now), ["v1", "v2"], "without a register");
-        fleet.hold_unannounced(&register(&[&["v1"]], now), now);
+        fleet.hold_unannounced(&register(&[&["v1"]], now), all, now);
         assert_eq!(usable(&fleet, now), ["v1"]);
         assert_eq!(fleet.withdrawn("s", now), ["e-v2"]);
         let criteria = Criteria { version: Some(&"v2".into()), ..Criteria::default() };
         let mut rng = fastrand::Rng::with_seed(1);
         assert_eq!(fleet.place("s", &criteria, &mut rng, now), None);
-        fleet.hold_unannounced(&register(&[&["v1", "v2"]], now), now);
+        fleet.hold_unannounced(&register(&[&["v1", "v2"]], now), all, now);
         assert_eq!(usable(&fleet, now), ["v1", "v2"], "once it is announced");
     }
 
+    // Guards against requests that are refused because of streams that their service has not.
+    an_endpoint_of_a_service_without_streams_does_not_wait(now) {
+        let mut fleet = Fleet::default();
+        fleet.register(registration("v2"));
+        let register = register(&[&["v1"]], now);
+        fleet.hold_unannounced(&register, |service| service != "s", now);
+        assert_eq!(fleet.usable("s", now).count(), 1);
+        // Once a route sends it streams, it waits.
+        fleet.hold_unannounced(&register, all, now);
+        assert_eq!(fleet.usable("s", now).count(), 0);
+    }
+
     // Guards against a service without endpoints because nobody can write the register.
     an_endpoint_does_not_wait_for_ever(now) {
         let mut fleet = Fleet::default();
         fleet.register(registration("v2"));
         let register = register(&[&["v1"]], now);
-        fleet.hold_unannounced(&register, now);
-        fleet.hold_unannounced(&register, now + SECOND * 2);
+        fleet.hold_unannounced(&register, all, now);
+        fleet.hold_unannounced(&register, all, now + SECOND * 2);
         assert_eq!(fleet.usable("s", now + SECOND * 2).count(), 0);
         assert_eq!(fleet.usable("s", now + SECOND * 3).count(), 1);
     }
