--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,10 +3,11 @@
 //! Only whole events are forwarded, each as soon as it arrives. When an endpoint fails, the stream
 //! is resumed after the last forwarded event, within the same response to the client. Events that
 //! are received again are dropped, and a gap in their ids is treated like a failure of the
-//! endpoint. A response that resumes a stream must have the status and the type of the first one, and
-//! begin with a numbered event: an error or another resource is no part of the stream. The relay does not read ahead: it fetches an event when the client's connection polls
-//! for one. When the client disconnects, the stream is dropped, which closes the connection to the
-//! endpoint.
+//! endpoint. A response that resumes a stream must have the status and the type of the first one,
+//! and begin with a numbered event: an error or another resource is no part of the stream.
+//!
+//! The relay does not read ahead: it fetches an event when the client's connection polls for one.
+//! When the client disconnects, the stream is dropped, which closes the connection to the endpoint.
 
 use crate::answer::Reason;
 use crate::budgets::Reservation;
