--- a/crates/testing/src/fleet/campaign.rs
+++ b/crates/testing/src/fleet/campaign.rs
@@ -17,6 +17,8 @@
 const ROLLBACK_TIME: Duration = Duration::from_millis(250);
 /// Mean interval between two steps.
 const STEP: Duration = Duration::from_millis(700);
+/// Time by which a slow service delays each call.
+const SLOW_CALL: Duration = Duration::from_millis(200);
 /// Interval between two rounds of requests.
 const ROUND: Duration = Duration::from_millis(400);
 
@@ -31,18 +33,86 @@
     pub duration: Duration,
 }
 
-/// What affects some daemons or the key-value service, until a time.
+/// What affects some daemons or the key-value service for a while.
 #[derive(Clone, Debug)]
 enum Disruption {
+    /// Holds back bytes between the daemons and the key-value service.
     Cut(Vec<usize>, Fault),
+    /// Holds back all bytes between the daemons and their peers.
     CutPeers(Vec<usize>),
+    /// Pauses the daemons.
     Pause(Vec<usize>),
+    /// Stops the daemons, at once or gracefully, and starts them again at the end.
     Stop(Vec<usize>),
+    /// Delays each call to the key-value service.
     Slow,
+    /// Fails each call to the key-value service.
     Down,
+    /// Tells watches of no change, and discards the history at the end.
     Deaf,
 }
 
+impl Disruption {
+    /// Returns whether it affects the key-value service, and so all daemons.
+    fn affects_service(&self) -> bool {
+        matches!(self, Self::Slow | Self::Down | Self::Deaf)
+    }
+
+    /// Returns the single daemons that it affects.
+    fn daemons(&self) -> &[usize] {
+        match self {
+            Self::Cut(daemons, _)
+            | Self::CutPeers(daemons)
+            | Self::Pause(daemons)
+            | Self::Stop(daemons) => daemons,
+            Self::Slow | Self::Down | Self::Deaf => &[],
+        }
+    }
+
+    /// Begins or ends it.
+    fn set(&self, fleet: &mut Fleet, active: bool, rng: &mut fastrand::Rng) {
+        let network = &mut fleet.network;
+        match self {
+            Self::Cut(daemons, fault) => {
+                let fault = if active { *fault } else { Fault::None };
+                daemons.iter().for_each(|daemon| network.kv_links[*daemon].set_fault(fault));
+            }
+            Self::CutPeers(daemons) => {
+                let fault = if active { Fault::StallBoth } else { Fault::None };
+                daemons.iter().for_each(|daemon| network.peer_links[*daemon].set_fault(fault));
+            }
+            Self::Pause(daemons) => {
+                for daemon in daemons {
+                    let process = &network.harness.daemons[*daemon].process;
+                    match active {
+                        true => process.pause(),
+                        false => process.resume(),
+                    }
+                }
+            }
+            Self::Stop(daemons) => {
+                for daemon in daemons {
+                    let daemon = &mut network.harness.daemons[*daemon];
+                    match active {
+                        true if rng.bool() => daemon.process.kill(),
+                        true => daemon.process.terminate(),
+                        false => daemon.restart(),
+                    }
+                }
+            }
+            Self::Slow => network.harness.faults.update(|state| {
+                state.kv.delay = if active { SLOW_CALL } else { Duration::ZERO };
+            }),
+            Self::Down => network.harness.faults.update(|state| state.kv.down = active),
+            Self::Deaf => network.harness.faults.update(|state| {
+                state.kv.deaf = active;
+                state.kv.stale_by = if active { APPLY_TIME } else { Duration::ZERO };
+                state.kv.compactions += u32::from(!active);
+            }),
+        }
+    }
+}
+
 /// What is known of one daemon.
 #[derive(Clone, Copy, Debug)]
 struct State {
@@ -160,90 +230,34 @@
         }
     }
 
+    /// Begins a disruption that lasts until `until`.
     fn begin(&mut self, disruption: &Disruption, until: Instant) {
-        let network = &mut self.fleet.network;
-        match disruption {
-            Disruption::Cut(daemons, fault) => {
-                daemons.iter().for_each(|daemon| network.kv_links[*daemon].set_fault(*fault));
-            }
-            Disruption::CutPeers(daemons) => {
-                let links = daemons.iter().map(|daemon| &network.peer_links[*daemon]);
-                links.for_each(|link| link.set_fault(Fault::StallBoth));
-            }
-            Disruption::Pause(daemons) => {
-                let running = daemons.iter().map(|daemon| &network.harness.daemons[*daemon]);
-                running.for_each(|daemon| daemon.process.pause());
-            }
-            Disruption::Stop(daemons) => {
-                for daemon in daemons {
-                    match self.rng.bool() {
-                        true => network.harness.daemons[*daemon].process.kill(),
-                        false => network.harness.daemons[*daemon].process.terminate(),
-                    }
-                }
-            }
-            Disruption::Slow => network.harness.faults.update(|state| {
-                state.kv.delay = Duration::from_millis(200);
-            }),
-            Disruption::Down => network.harness.faults.update(|state| state.kv.down = true),
-            Disruption::Deaf => network.harness.faults.update(|state| {
-                state.kv.deaf = true;
-                state.kv.stale_by = APPLY_TIME;
-            }),
+        disruption.set(&mut self.fleet, true, &mut self.rng);
+        self.record_affected(disruption, until);
+    }
+
+    /// Records that a disruption affects its daemons, or the key-value service, up to `until`.
+    fn record_affected(&mut self, disruption: &Disruption, until: Instant) {
+        for daemon in disruption.daemons() {
+            let affected = &mut self.states[*daemon].affected_until;
+            *affected = (*affected).max(until);
         }
-        match disruption {
-            Disruption::Cut(daemons, _)
-            | Disruption::CutPeers(daemons)
-            | Disruption::Pause(daemons)
-            | Disruption::Stop(daemons) => {
-                for daemon in daemons {
-                    let affected = &mut self.states[*daemon].affected_until;
-                    *affected = (*affected).max(until);
-                }
-            }
-            Disruption::Slow | Disruption::Down | Disruption::Deaf => {
-                self.service_affected_until = self.service_affected_until.max(until);
-            }
+        if disruption.affects_service() {
+            self.service_affected_until = self.service_affected_until.max(until);
         }
     }
 
     /// Ends the disruptions whose time has come, or all.
     fn end_disruptions(&mut self, now: Instant, all: bool) {
-        let due = |until: &Instant| all || *until <= now;
-        let (ended, active) = self.active.drain(..).partition(|(_, until)| due(until));
+        let active = std::mem::take(&mut self.active);
+        let (ended, active): (Vec<_>, Vec<_>) =
+            active.into_iter().partition(|(_, until)| all || *until <= now);
         self.active = active;
-        let ended: Vec<(Disruption, Instant)> = ended;
         for (disruption, _) in &ended {
-            let network = &mut self.fleet.network;
-            match disruption {
-                Disruption::Cut(daemons, _) => {
-                    daemons
-                        .iter()
-                        .for_each(|daemon| network.kv_links[*daemon].set_fault(Fault::None));
-                }
-                Disruption::CutPeers(daemons) => {
-                    let links = daemons.iter().map(|daemon| &network.peer_links[*daemon]);
-                    links.for_each(|link| link.set_fault(Fault::None));
-                }
-                Disruption::Pause(daemons) => {
-                    let paused = daemons.iter().map(|daemon| &network.harness.daemons[*daemon]);
-                    paused.for_each(|daemon| daemon.process.resume());
-                }
-                Disruption::Stop(daemons) => {
-                    for daemon in daemons {
-                        network.harness.daemons[*daemon].restart();
-                        self.states[*daemon].used = None;
-                    }
-                }
-                Disruption::Slow => {
-                    network.harness.faults.update(|state| state.kv.delay = Duration::ZERO)
-                }
-                Disruption::Down => network.harness.faults.update(|state| state.kv.down = false),
-                Disruption::Deaf => network.harness.faults.update(|state| {
-                    state.kv.deaf = false;
-                    state.kv.stale_by = Duration::ZERO;
-                    state.kv.compactions += 1;
-                }),
+            disruption.set(&mut self.fleet, false, &mut self.rng);
+            self.record_affected(disruption, now);
+            if let Disruption::Stop(daemons) = disruption {
+                daemons.iter().for_each(|daemon| self.states[*daemon].used = None);
             }
         }
         if ended.is_empty() {
@@ -251,25 +265,8 @@
         }
         // One of two disruptions of a daemon may end the other, so what still lasts begins again.
         for (disruption, until) in self.active.clone() {
-            match disruption {
-                Disruption::Stop(_) => {}
-                disruption => self.begin(&disruption, until),
-            }
-        }
-        for (disruption, _) in ended {
-            match disruption {
-                Disruption::Cut(daemons, _)
-                | Disruption::CutPeers(daemons)
-                | Disruption::Pause(daemons)
-                | Disruption::Stop(daemons) => {
-                    for daemon in daemons {
-                        let affected = &mut self.states[daemon].affected_until;
-                        *affected = (*affected).max(now);
-                    }
-                }
-                Disruption::Slow | Disruption::Down | Disruption::Deaf => {
-                    self.service_affected_until = self.service_affected_until.max(now);
-                }
+            if !matches!(disruption, Disruption::Stop(_)) {
+                self.begin(&disruption, until);
             }
         }
     }
