--- a/crates/catkinshed/tests/fleet_configuration.rs
+++ b/crates/catkinshed/tests/fleet_configuration.rs
@@ -16,6 +16,11 @@
 /// Time in which daemons get back in touch after a disruption.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
+/// Number of routes of a configuration near the maximum size of a value.
+const LARGE_ROUTES: u64 = 3_000;
+/// Bytes a second of the link of a small VM, 30 Mbit/s.
+const SMALL_LINK: u32 = 3_750_000;
+
 /// Held by the test that runs, as all fleets together have too many processes.
 static RUNNING: Mutex<()> = Mutex::const_new(());
 
@@ -186,3 +191,19 @@
     daemons_with_little_processor_time_use_a_former_configuration:
         Disruption::Quota, Disruption::Quota;
 }
+
+/// Guards against delegates on small VMs whose links are too slow to send a large configuration to all
+/// their followers in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_reaches_the_last_follower_late() {
+    let _running = RUNNING.lock().await;
+    let mut fleet = Fleet::start(BINARY, "large", DAEMONS).await;
+    fleet.unused_routes = LARGE_ROUTES;
+    fleet.network.peer_links.iter().for_each(|link| link.set_fault(Fault::Rate(SMALL_LINK)));
+    for _ in 0..2 {
+        let acknowledged = fleet.change_routes().await;
+        let all = fleet.all_but(&[]);
+        let late = fleet.find_late(&all, acknowledged, APPLY_TIME, ASK_TIME).await;
+        assert!(late.is_empty(), "{} requests: {late:#?}", late.len());
+    }
+}
--- a/crates/testing/src/fleet/mod.rs
+++ b/crates/testing/src/fleet/mod.rs
@@ -43,6 +43,8 @@
     endpoints: [Endpoint; 2],
     version: u64,
     round: usize,
+    /// Number of routes in each version that no request uses.
+    pub unused_routes: u64,
 }
 
 /// A request that a daemon handled by an older configuration.
@@ -71,7 +73,7 @@
         for (service, endpoint) in SERVICES.iter().zip(&endpoints) {
             harness.register_at(&endpoint.id, service, endpoint.addr, "ready").await;
         }
-        harness.configure(&configuration(1)).await;
+        harness.configure(&configuration(1, UNUSED_ROUTES)).await;
         let network = Partitionable::launch(binary, harness, count, |number, settings| {
             settings.dc = DATA_CENTRES[number % DATA_CENTRES.len()].into();
         })
@@ -80,7 +82,7 @@
         let mut delegates: Vec<usize> = (0..count).collect();
         delegates.sort_by_key(|number| std::cmp::Reverse(rank(number)));
         delegates.truncate(gateway::members::delegate_count(count));
-        Self { network, delegates, endpoints, version: 1, round: 0 }
+        Self { network, delegates, endpoints, version: 1, round: 0, unused_routes: UNUSED_ROUTES }
     }
 
     /// Returns the daemons that are not in `others`.
@@ -102,7 +104,8 @@
     /// Panics if the write fails for too long.
     pub async fn change_routes(&mut self) -> Instant {
         self.version += 1;
-        self.network.harness.configure(&configuration(self.version)).await;
+        let document = configuration(self.version, self.unused_routes);
+        self.network.harness.configure(&document).await;
         Instant::now()
     }
 
@@ -217,14 +220,14 @@
 ///
 /// The route `moved` uses the two services in turn, and the route `only-VERSION` exists only in this
 /// version.
-fn configuration(version: u64) -> serde_json::Value {
+fn configuration(version: u64, unused_routes: u64) -> serde_json::Value {
     let service = SERVICES[version as usize % 2];
     let mut routes = vec![
         route("moved", "safe", service, 2),
         route(&format!("only-{version}"), "safe", service, 2),
     ];
     routes.extend(
-        (0..UNUSED_ROUTES).map(|number| route(&format!("unused-{number}"), "safe", service, 2)),
+        (0..unused_routes).map(|number| route(&format!("unused-{number}"), "safe", service, 2)),
     );
     let mut document = config(version);
     document["routes"] = json!(routes);
--- a/crates/testing/src/proxy.rs
+++ b/crates/testing/src/proxy.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +27,8 @@
     None,
     /// Delays each chunk of bytes.
     Delay(Duration),
+    /// Forwards this many bytes a second from the server, over all connections together.
+    Rate(u32),
     /// Holds back bytes sent to the server.
     StallToServer,
     /// Holds back bytes sent to the client.
@@ -65,7 +67,7 @@
 impl State {
     fn forwards(&self, direction: Direction, number: u64) -> bool {
         let stalled = match self.fault {
-            Fault::None | Fault::Delay(_) => false,
+            Fault::None | Fault::Delay(_) | Fault::Rate(_) => false,
             Fault::StallToServer => direction == Direction::ToServer,
             Fault::StallToClient => direction == Direction::ToClient,
             Fault::StallBoth => true,
@@ -88,6 +90,8 @@
     pub addr: SocketAddr,
     state: watch::Sender<State>,
     spoils: Arc<Mutex<VecDeque<Spoil>>>,
+    /// Time at which a link with a limited rate has sent what was given to it.
+    idle_at: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Proxy {
@@ -99,7 +103,12 @@
     pub async fn start(target: SocketAddr) -> Self {
         let addr = net::free_addr();
         let listener = TcpListener::bind(addr).await.expect("failed to bind the proxy");
-        let proxy = Self { addr, state: watch::Sender::default(), spoils: Arc::default() };
+        let proxy = Self {
+            addr,
+            state: watch::Sender::default(),
+            spoils: Arc::default(),
+            idle_at: Arc::default(),
+        };
         tokio::spawn(proxy.clone().accept(listener, target));
         proxy
     }
@@ -123,6 +132,15 @@
         self.spoils.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the time at which `count` more bytes have passed a link with this rate.
+    fn pass(&self, count: usize, rate: u32, now: Instant) -> Instant {
+        let mut idle_at = self.idle_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let begins = idle_at.map_or(now, |idle_at| idle_at.max(now));
+        let passed = begins + Duration::from_secs_f64(count as f64 / f64::from(rate));
+        *idle_at = Some(passed);
+        passed
+    }
+
     /// Takes the change of a response on a connection, which is kept if it carried one before.
     fn take_spoil(&self, kept: bool) -> Option<Spoil> {
         let mut spoils = self.lock_spoils();
@@ -210,11 +228,15 @@
         loop {
             let mut count = from.read(&mut buffer).await.unwrap_or(0);
             let forwards = |state: &State| state.forwards(direction, self.number);
-            let delay = match state.wait_for(forwards).await {
-                Ok(state) => state.delay(),
+            let (delay, fault) = match state.wait_for(forwards).await {
+                Ok(state) => (state.delay(), state.fault),
                 Err(_) => return,
             };
             tokio::time::sleep(delay).await;
+            if let (Fault::Rate(rate), Direction::ToClient) = (fault, direction) {
+                let passed = self.proxy.pass(count, rate, Instant::now());
+                tokio::time::sleep_until(passed.into()).await;
+            }
             let mut truncated = false;
             match direction {
                 Direction::ToServer if buffer[..count].starts_with(b"POST ") => {
