--- a/crates/testing/src/fleet/campaign.rs
+++ b/crates/testing/src/fleet/campaign.rs
@@ -285,7 +285,7 @@
         let calm: Vec<usize> = calm.collect();
         self.fleet.round += 1;
         let asked = calm.iter().map(|daemon| self.fleet.find_used(*daemon, newest));
-        let answers = futures::future::join_all(asked).await;
+        let answers = rocket::futures::future::join_all(asked).await;
         for (daemon, used) in calm.into_iter().zip(answers) {
             let state = &mut self.states[daemon];
             let in_touch = service_in_touch && now > state.affected_until + CONTACT_TIME;
--- a/crates/testing/src/fleet/mod.rs
+++ b/crates/testing/src/fleet/mod.rs
@@ -127,7 +127,9 @@
             let after = acknowledged.elapsed();
             self.round += 1;
             let asked = daemons.iter().map(|daemon| self.ask(*daemon));
-            for (daemon, what) in futures::future::join_all(asked).await.into_iter().flatten() {
+            for (daemon, what) in
+                rocket::futures::future::join_all(asked).await.into_iter().flatten()
+            {
                 late.push(Late { daemon, after, what });
             }
             tokio::time::sleep_until(next.into()).await;
@@ -146,7 +148,7 @@
             let request = harness.try_request(daemon, &path, &id, ASK_TIMEOUT);
             (version, request.await.is_some_and(|response| response.status == 200))
         });
-        let answers = futures::future::join_all(asked).await;
+        let answers = rocket::futures::future::join_all(asked).await;
         // The daemon may change to a newer version in between.
         answers.into_iter().filter(|(_, is_served)| *is_served).map(|(version, _)| version).max()
     }
