Take no error of an engine for a token

What callers saw: a turn whose stream broke off and whose next engine answered with an error event ended as complete, without its first token.

Mend: an event needs its index and its text; other data is an invalid response, which cancels the turn.

--- a/crates/catkinshed/tests/endpoint_responses.rs
+++ b/crates/catkinshed/tests/endpoint_responses.rs
@@ -117,3 +117,47 @@
         b"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n".to_vec(),
     );
 }
+
+/// Checks that an answer is whole and holds nothing else if the engine that goes on with it answers with
+/// `answer`.
+async fn an_answer_goes_on_with(name: &str, answer: &str) {
+    let (fleet, mut client, program) = start(name).await;
+    for seq in 1..=4 {
+        // Either engine may begin: one breaks off in its stream, the other one sends the error.
+        let begins = ["engine-0", "engine-1"][seq as usize % 2];
+        for engine in ["engine-0", "engine-1"] {
+            let spoil = match engine == begins {
+                true => Spoil::Truncate(900),
+                false => Spoil::Replace(answer.as_bytes().to_vec()),
+            };
+            fleet.cluster.links[engine].spoil([spoil]);
+        }
+        let turn = model(seq, "go on", TOKENS, TOKENS * 2);
+        let answer = client.try_call(&program, &turn).await.expect("the turn failed");
+        let words: Vec<&str> = text(&answer).split_whitespace().collect();
+        assert_eq!(words.len() as u64, TOKENS, "turn {seq}: {words:?}");
+        let indices: Vec<&str> =
+            words.iter().filter_map(|word| word.rsplit(['.', ':', '-', '#', '/']).next()).collect();
+        let expected: Vec<String> = (0..TOKENS).map(|index| index.to_string()).collect();
+        assert_eq!(indices, expected, "turn {seq}");
+    }
+}
+
+macro_rules! answers_go_on {
+    ($($name:ident: $answer:expr;)*) => {
+        $(#[tokio::test(flavor = "multi_thread")] async fn $name() {
+            an_answer_goes_on_with(stringify!($name), $answer).await;
+        })*
+    };
+}
+
+answers_go_on! {
+    an_answer_goes_on_with_a_server_error:
+        "HTTP/1.1 500 Internal\r\nContent-Length: 18\r\n\r\n{\"error\":\"no run\"}";
+    an_answer_goes_on_with_an_error_document:
+        "HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{\"error\":\"no run\"}";
+    an_answer_goes_on_with_an_error_event:
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: {\"error\":\"no run\"}\n\n";
+    an_answer_goes_on_with_nothing: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    an_answer_goes_on_with_no_content: "HTTP/1.1 204 No Content\r\n\r\n";
+}
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -58,19 +58,21 @@
     pub epoch: Epoch,
 }
 
-/// One event of a completion stream.
+/// One event of a completion stream. Data without an index or a text, such as an error, is no event.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default)]
 pub struct Event {
     /// Index of the token in the answer, starting at 0.
     pub index: Tokens,
     /// Text of the token.
     pub text: String,
     /// Number of prompt tokens found in the prefix cache; set only in the first event.
+    #[serde(default)]
     pub cached: Option<Tokens>,
     /// Why the stream ended, `stop` or `length`; set only in the last event.
+    #[serde(default)]
     pub finish: Option<CompactString>,
     /// Id of the run that generated the token; it changes when the engine starts over.
+    #[serde(default)]
     pub run: u64,
 }
 
--- a/crates/testing/src/proxy.rs
+++ b/crates/testing/src/proxy.rs
@@ -42,6 +42,8 @@
 pub enum Spoil {
     /// Forwards only this many bytes, and closes the connection.
     Truncate(usize),
+    /// Sends these bytes instead, and closes the connection.
+    Replace(Vec<u8>),
     /// Sends these bytes before the response if the connection has carried a request before, else
     /// waits for such a connection.
     PrecedeOnKept(Vec<u8>),
@@ -145,7 +147,7 @@
     fn take_spoil(&self, kept: bool) -> Option<Spoil> {
         let mut spoils = self.lock_spoils();
         let applies = match spoils.front()? {
-            Spoil::Truncate(_) => true,
+            Spoil::Truncate(_) | Spoil::Replace(_) => true,
             Spoil::PrecedeOnKept(_) => kept,
         };
         applies.then(|| spoils.pop_front())?
@@ -248,6 +250,11 @@
                             count = count.min(length);
                             truncated = true;
                         }
+                        Some(Spoil::Replace(bytes)) => {
+                            // The connection is closed in any case.
+                            let _ = to.write_all(&bytes).await;
+                            count = 0;
+                        }
                         Some(Spoil::PrecedeOnKept(bytes)) => {
                             // The next write fails as well if this one does.
                             let _ = to.write_all(&bytes).await;
