--- a/crates/gateway/src/view_sync.rs
+++ b/crates/gateway/src/view_sync.rs
@@ -72,7 +72,7 @@
 
 /// Why a subscription ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SubscriptionEnd {
+enum End {
     /// The peer did not answer.
     Unreachable,
     /// The peer sent nothing for [`SUBSCRIPTION_TIMEOUT`], or closed the connection.
@@ -83,7 +83,7 @@
     Unexpected,
 }
 
-impl SubscriptionEnd {
+impl End {
     /// Returns the name used in log lines and metrics.
     fn name(self) -> &'static str {
         match self {
@@ -467,7 +467,7 @@
     /// why it ended.
     ///
     /// Another delegate may be in touch in the latter case.
-    async fn subscribe(&self, addr: &str, slot: usize) -> SubscriptionEnd {
+    async fn subscribe(&self, addr: &str, slot: usize) -> End {
         let version = self.view.table().map(|table| table.version);
         let revision = self.view.revision();
         let request = Request::Gateway(Box::new(Command::Subscribe { version, revision }));
@@ -476,7 +476,7 @@
             timeout(peer_timeout, self.budgets.peers().call(addr, &request)).await
         else {
             self.budgets.peers().disconnect(addr);
-            return SubscriptionEnd::Unreachable;
+            return End::Unreachable;
         };
         let source = Source::Peer(addr.into());
         let mut transit = Transit::default();
@@ -486,7 +486,7 @@
                 timeout(SUBSCRIPTION_TIMEOUT, replies.next()).await
             else {
                 self.budgets.peers().disconnect(addr);
-                return SubscriptionEnd::Silent;
+                return End::Silent;
             };
             let now = Instant::now();
             self.sync_status.record_peer_update(now);
@@ -505,7 +505,7 @@
                 | Response::Inherited(_)
                 | Response::Booked(_)
                 | Response::Origin(_)
-                | Response::Noted => return SubscriptionEnd::Unexpected,
+                | Response::Noted => return End::Unexpected,
             };
             let delay = transit.delay(stamp.sent, now);
             let age = stamp.age.map(|age| age + delay);
@@ -523,7 +523,7 @@
                 }
                 // The updates that wait behind a delayed one are newer.
                 None if freshness::is_current(stamp.age) => {}
-                None => return SubscriptionEnd::NotCurrent,
+                None => return End::NotCurrent,
             }
         }
     }
--- a/crates/testing/src/fleet/mod.rs
+++ b/crates/testing/src/fleet/mod.rs
@@ -92,9 +92,9 @@
 
     /// Lets each daemon run for [`CPU_SLICE`] of each [`CPU_PERIOD`] only, until the returned value is
     /// dropped.
-    pub fn limit_cpu(&self) -> CpuLimit {
+    pub fn limit_cpu(&self) -> Quota {
         let pids = self.network.harness.daemons.iter().map(|daemon| daemon.process.pid());
-        CpuLimit::start(pids.collect())
+        Quota::start(pids.collect())
     }
 
     /// Writes the next version of the configuration and returns the time of its acknowledgement.
@@ -183,12 +183,12 @@
 }
 
 /// Limit on the processor time of processes, in effect until it is dropped.
-pub struct CpuLimit {
+pub struct Quota {
     ended: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
-impl CpuLimit {
+impl Quota {
     fn start(pids: Vec<u32>) -> Self {
         let ended = Arc::new(AtomicBool::new(false));
         let (is_ended, step) = (ended.clone(), CPU_PERIOD / pids.len().max(1) as u32);
@@ -208,7 +208,7 @@
     }
 }
 
-impl Drop for CpuLimit {
+impl Drop for Quota {
     fn drop(&mut self) {
         self.ended.store(true, Ordering::Relaxed);
         if let Some(thread) = self.thread.take() {
