review: programs are handed more than their budget after a change of routes

Cause: the tokens of an event are looked up in the configuration in force when a response begins; a service that it does not list counts as one token an event.

--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,17 @@
+//! Scripts of this review; the first argument names the case.
+
+mod base;
+mod counted;
+
+fn main() {
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let run = match case.as_str() {
+        "counted" => counted::run,
+        _ => {
+            eprintln!("unknown case {case:?}");
+            std::process::exit(2);
+        }
+    };
+    // A panic says that the case could not run; it has ended the processes by then.
+    std::process::exit(std::panic::catch_unwind(run).unwrap_or(2));
+}
