review: requests reach servers that have left too late (DRAIN)

Cause: what a daemon learns to be removed is used for another 1.4 s, counted from when it learns of it, however old its view was.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,11 +2,13 @@
 
 mod base;
 mod counted;
+mod leaving;
 
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let run = match case.as_str() {
         "counted" => counted::run,
+        "leaving" => leaving::run,
         _ => {
             eprintln!("unknown case {case:?}");
             std::process::exit(2);
