--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,12 +3,14 @@
 mod base;
 mod counted;
 mod leaving;
+mod stopped;
 
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let run = match case.as_str() {
         "counted" => counted::run,
         "leaving" => leaving::run,
+        "stopped" => stopped::run,
         _ => {
             eprintln!("unknown case {case:?}");
             std::process::exit(2);
