--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,6 @@
 //! Scripts of this review; the first argument names the case.
 
+mod attempts;
 mod base;
 mod counted;
 mod leaving;
@@ -8,6 +9,7 @@
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     let run = match case.as_str() {
+        "attempts" => attempts::run,
         "counted" => counted::run,
         "leaving" => leaving::run,
         "stopped" => stopped::run,
